--- a/azureyoke/src/app/commands.cpp
+++ b/azureyoke/src/app/commands.cpp
@@ -25,11 +25,6 @@
 
 namespace azureyoke::app {
 
-namespace internal {
-namespace {
-
-constexpr const char* version_text = "azureyoke 0.1.0";
-
 std::optional<std::string> read_file(const std::string& name) {
     std::ifstream in(name, std::ios::binary);
     if (!in)
@@ -39,6 +34,11 @@
     return text.str();
 }
 
+namespace internal {
+namespace {
+
+constexpr const char* version_text = "azureyoke 0.1.0";
+
 void print_faults(const std::string& name, const std::vector<state::error>& faults) {
     for (const auto& it : faults)
         std::cerr << name << ": " << state::to_string(it) << "\n";
@@ -206,33 +206,36 @@
     return exit_code::ok;
 }
 
-struct command {
-    std::string usage;
-    std::string summary;
-    std::function<exit_code(const std::vector<std::string>&)> run;
-};
-
-const std::map<std::string, command>& commands() {
-    static const std::map<std::string, command> list = {
-        {"serve", {"serve --settings FILE", "run an instance until SIGTERM", serve}},
-        {"check", {"check DOCUMENT", "validate a document offline", check}},
-        {"apply", {"apply --platform IP:PORT DOCUMENT", "write a document to the platform", apply}},
-        {"status", {"status --operators IP:PORT", "show an instance", status}},
-        {"explain",
-         {"explain --operators IP:PORT REQUEST_ID", "tell why a request went where it went",
-          explain}},
-        {"audit",
-         {"audit --platform IP:PORT [--since_ms N] [--until_ms N] [--document NAME] "
-          "[--workspace NAME]",
-          "print the audit trail, oldest first", audit}},
-        {"version", {"version", "print the version", version}},
-    };
+std::map<std::string, command>& commands() {
+    static std::map<std::string, command> list = [] {
+        std::map<std::string, command> made;
+        for (const auto& it : std::vector<command>{
+                 {"serve", "serve --settings FILE", "run an instance until SIGTERM", serve},
+                 {"check", "check DOCUMENT", "validate a document offline", check},
+                 {"apply", "apply --platform IP:PORT DOCUMENT", "write a document to the platform",
+                  apply},
+                 {"status", "status --operators IP:PORT", "show an instance", status},
+                 {"explain", "explain --operators IP:PORT REQUEST_ID",
+                  "tell why a request went where it went", explain},
+                 {"audit",
+                  "audit --platform IP:PORT [--since_ms N] [--until_ms N] [--document NAME] "
+                  "[--workspace NAME]",
+                  "print the audit trail, oldest first", audit},
+                 {"version", "version", "print the version", version}})
+            made.emplace(it.name, it);
+        return made;
+    }();
     return list;
 }
 
 } // namespace
 } // namespace internal
 
+void add_command(command added) {
+    auto name = added.name;
+    internal::commands().insert_or_assign(name, std::move(added));
+}
+
 std::string help_text(const std::string& command) {
     const auto& list = internal::commands();
     auto it = list.find(command);
--- a/azureyoke/src/app/commands.h
+++ b/azureyoke/src/app/commands.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -7,6 +9,20 @@
 
 namespace azureyoke::app {
 
+/// \brief A command of the program; `run` gets the words after the command's name.
+struct command {
+    std::string name;
+    std::string usage;
+    std::string summary;
+    std::function<exit_code(const std::vector<std::string>&)> run;
+};
+
+/// \brief Adds a command to the program's own. Call before `run_command`.
+void add_command(command added);
+
+/// \returns the whole content of a file, or nothing when it can't be read.
+std::optional<std::string> read_file(const std::string& name);
+
 /// \brief Runs one command of the program. `words` are the words after the program's name.
 exit_code run_command(const std::vector<std::string>& words);
 
--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -20,10 +20,13 @@
         {event_id::listening, "listening"},
         {event_id::loop_stalled, "loop_stalled"},
         {event_id::drain_finished, "drain_finished"},
+        {event_id::settings_reloaded, "settings_reloaded"},
         {event_id::configuration_accepted, "configuration_accepted"},
         {event_id::configuration_refused, "configuration_refused"},
         {event_id::platform_unreachable, "platform_unreachable"},
         {event_id::platform_row_unreadable, "platform_row_unreadable"},
+        {event_id::platform_reached, "platform_reached"},
+        {event_id::weights_named, "weights_named"},
         {event_id::request_finished, "request_finished"},
         {event_id::request_refused, "request_refused"},
         {event_id::attempt_failed, "attempt_failed"},
@@ -34,6 +37,7 @@
         {event_id::replica_ejected, "replica_ejected"},
         {event_id::replica_restarted, "replica_restarted"},
         {event_id::replica_report_missing, "replica_report_missing"},
+        {event_id::replica_removed, "replica_removed"},
         {event_id::peer_connected, "peer_connected"},
         {event_id::peer_lost, "peer_lost"},
         {event_id::peer_message_refused, "peer_message_refused"},
@@ -93,10 +97,11 @@
     LOG4CXX_WARN(internal::logger(), render(id, "warn", fields));
 }
 
-void start_logging() {
+void start_logging(log_stream to) {
     auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, to == log_stream::output ? log4cxx::ConsoleAppender::getSystemOut()
+                                        : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
 }
 
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -13,10 +13,13 @@
     listening = 1004,
     loop_stalled = 1005,
     drain_finished = 1006,
+    settings_reloaded = 1007,
     configuration_accepted = 2001,
     configuration_refused = 2002,
     platform_unreachable = 2003,
     platform_row_unreadable = 2004,
+    platform_reached = 2005,
+    weights_named = 2006,
     request_finished = 3001,
     request_refused = 3002,
     attempt_failed = 3003,
@@ -27,6 +30,7 @@
     replica_ejected = 4001,
     replica_restarted = 4002,
     replica_report_missing = 4003,
+    replica_removed = 4004,
     peer_connected = 5001,
     peer_lost = 5002,
     peer_message_refused = 5003,
@@ -76,7 +80,10 @@
     std::string instance_;
 };
 
-/// \brief Sends the log to standard error, one line an event. Call once in a process.
-void start_logging();
+enum class log_stream { output, error };
+
+/// \brief Sends the log to standard output or standard error, one line an event. Call once in a
+/// process.
+void start_logging(log_stream to = log_stream::error);
 
 } // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -0,0 +1,303 @@
+#include "azureyoke/src/app/forward_instance.h"
+
+#include <nlohmann/json.hpp>
+
+#include "azureyoke/src/app/wall_clock.h"
+#include "azureyoke/src/transport/backend_fetch.h"
+
+namespace azureyoke::app {
+
+namespace internal {
+namespace {
+
+constexpr int lines_per_second = 20; ///< Of each kind of event.
+constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
+/// A policy that peers have is waited for from the registry first.
+constexpr transport::duration policy_patience = std::chrono::milliseconds(150);
+constexpr transport::duration policy_timeout = std::chrono::milliseconds(800);
+/// A policy is thought to be old once nobody heard from the registry for this long.
+constexpr transport::duration registry_patience = std::chrono::milliseconds(1500);
+constexpr transport::duration drain_check_period = std::chrono::milliseconds(50);
+/// Balancers notice within this that a leaving instance is not ready.
+constexpr transport::duration drain_grace = std::chrono::milliseconds(2500);
+
+std::uint64_t new_incarnation() {
+    return static_cast<std::uint64_t>(wall_clock_ms());
+}
+
+transport::front_limits limits_of(const state::caller_bounds& bounds) {
+    transport::front_limits made;
+    made.head_bytes = static_cast<std::size_t>(bounds.head_bytes);
+    made.body_bytes = static_cast<std::size_t>(bounds.body_bytes);
+    made.head_timeout = std::chrono::milliseconds(bounds.head_timeout_ms);
+    made.idle_timeout = std::chrono::milliseconds(bounds.idle_timeout_ms);
+    return made;
+}
+
+} // namespace
+} // namespace internal
+
+forward_instance::forward_instance(transport::event_loop& loop, forward_settings settings,
+                                   forward_world world)
+    : loop_(loop), settings_(std::move(settings)), world_(world),
+      incarnation_(internal::new_incarnation()), log_(settings_.instance),
+      lines_(internal::lines_per_second), backends_(loop, {}), state_(settings_),
+      services_{settings_, loop_, backends_, world_.dialect, state_, log_, lines_, metrics_},
+      peers_(
+          loop, settings_, world_.records, log_, [this] { return report(); },
+          [this](const auto& it) { on_peer_report(it); }),
+      weights_(loop, settings_, incarnation_, state_, world_.records, world_.orders, peers_, log_),
+      callers_(loop, {},
+               [this](const auto& exchange) {
+                   std::make_shared<forward_session>(services_, exchange)->start();
+               }),
+      readiness_(loop, {},
+                 [this](const auto& exchange) {
+                     exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
+                 }),
+      operators_(loop, {}, [this](const auto& exchange) { on_operator_request(exchange); }) {}
+
+forward_instance::~forward_instance() = default;
+
+transport::result<void> forward_instance::start() {
+    for (auto [server, at] : {std::pair(&callers_, settings_.callers),
+                              std::pair(&readiness_, settings_.readiness),
+                              std::pair(&operators_, settings_.operators)}) {
+        auto bound = server->listen(at);
+        if (!bound)
+            return tl::unexpected(bound.error());
+    }
+    auto peers = peers_.start();
+    if (!peers)
+        return tl::unexpected(peers.error());
+    log_.write(event_id::instance_started, {{"incarnation", std::to_string(incarnation_)},
+                                            {"data_centre", settings_.data_centre}});
+    log_.write(event_id::listening, {{"callers", transport::to_string(settings_.callers)},
+                                     {"operators", transport::to_string(settings_.operators)},
+                                     {"peers", transport::to_string(settings_.peers)}});
+    registry_lost_ = loop_.now();
+    world_.registry.start(*this);
+    weights_.start();
+    housekeeping_timer_ = loop_.every(internal::housekeeping_period, [this] { housekeeping(); });
+    return {};
+}
+
+void forward_instance::on_policy(const policy_copy& copy) {
+    const auto& current = state_.policy.policy;
+    if (current != nullptr && copy.policy->version() <= current->version())
+        return;
+    state_.set_policy(copy, loop_.now());
+    callers_.set_limits(internal::limits_of(copy.policy->bounds()));
+    log_.write(event_id::configuration_accepted,
+               {{"version", std::to_string(copy.policy->version())}});
+    peers_.send_now();
+}
+
+void forward_instance::on_named_weights(const std::string& model, std::int64_t version) {
+    auto& known = state_.weights[model];
+    if (version <= known.version)
+        return;
+    known = {version, loop_.now()};
+    log_.write(event_id::weights_named, {{"model", model}, {"weights", std::to_string(version)}});
+}
+
+void forward_instance::on_servers(const std::vector<state::fleet_server>& list) {
+    state_.directory.replace_all(list, loop_.now());
+}
+
+void forward_instance::on_server(const state::fleet_server& entry) {
+    const auto* known = state_.directory.find(entry.id);
+    if (known != nullptr && known->born_ms != entry.born_ms) {
+        state_.router.forget(entry.id); // it started anew and holds nothing of before
+        log_.write(event_id::replica_restarted, {{"backend_server", entry.id}});
+    }
+    if (entry.leaving && (known == nullptr || !known->leaving))
+        log_.write(event_id::replica_draining, {{"backend_server", entry.id}});
+    state_.directory.put(entry);
+}
+
+void forward_instance::on_server_gone(const std::string& id) {
+    log_.write(event_id::replica_removed, {{"backend_server", id}});
+    state_.directory.remove(id, loop_.now());
+}
+
+void forward_instance::on_unreadable(const std::string& row, const std::string& why) {
+    std::int64_t left_out = 0;
+    if (lines_.take(event_id::platform_row_unreadable, loop_.now(), left_out))
+        log_.warn(event_id::platform_row_unreadable,
+                  {{"row", row}, {"why", why}, {"left_out", std::to_string(left_out)}});
+}
+
+void forward_instance::on_registry(bool reachable, const std::string& why) {
+    if (reachable == registry_reachable_)
+        return;
+    registry_reachable_ = reachable;
+    if (reachable) {
+        state_.directory.on_registry_back(loop_.now());
+        log_.write(event_id::platform_reached, {});
+    } else {
+        registry_lost_ = loop_.now();
+        log_.warn(event_id::platform_unreachable, {{"why", why}});
+    }
+}
+
+peer_report forward_instance::report() {
+    peer_report made;
+    made.instance = settings_.instance;
+    made.incarnation = incarnation_;
+    made.peers = transport::to_string(settings_.peers);
+    made.operators = transport::to_string(settings_.operators);
+    made.leaving = draining_ && drain_timer_ == nullptr;
+    made.holds_lease = weights_.holds_lease();
+    made.reaches_registry = registry_reachable_;
+    made.policy_version = state_.policy.policy ? state_.policy.policy->version() : 0;
+    for (auto& [name, it] : state_.limits) {
+        made.spent[name] = it.spent();
+        it.on_reported();
+    }
+    for (const auto& [model, it] : state_.weights)
+        made.named_weights[model] = it.version;
+    made.notices = weights_.notices();
+    return made;
+}
+
+void forward_instance::on_peer_report(const peer_report& report) {
+    auto now = loop_.now();
+    if (report.reaches_registry)
+        peer_reached_at_ = now;
+    for (const auto& [name, total] : report.spent) {
+        if (auto* limit = state_.limit(name))
+            limit->on_peer_spent(report.instance, report.incarnation, total, now);
+    }
+    for (const auto& [model, version] : report.named_weights)
+        on_named_weights(model, version);
+    for (const auto& it : report.notices) {
+        if (it.changing)
+            state_.router.on_change_announced(it.server, now);
+        else
+            state_.router.on_weights(it.server, it.model, it.version);
+    }
+    auto own = state_.policy.policy ? state_.policy.policy->version() : 0;
+    if (report.policy_version > own && policy_timer_ == nullptr)
+        policy_timer_ = loop_.after(internal::policy_patience, [this] { fetch_policy(); });
+}
+
+void forward_instance::fetch_policy() {
+    auto own = state_.policy.policy ? state_.policy.policy->version() : 0;
+    auto from = peers_.holder_of_newer_policy(own, loop_.now());
+    if (!from) {
+        policy_timer_.reset();
+        return;
+    }
+    transport::http_request request{"GET", "/policy", {{"Host", transport::to_string(*from)}}, {}};
+    transport::fetch(loop_, backends_, *from, request, internal::policy_timeout,
+                     [this](auto answer) {
+                         policy_timer_.reset();
+                         if (!answer || answer->status != 200)
+                             return; // the next report asks again
+                         std::string why;
+                         auto copy = world_.registry.read_policy(answer->body, why);
+                         if (copy)
+                             on_policy(*copy);
+                         else
+                             on_unreadable("policy of a peer", why);
+                     });
+}
+
+void forward_instance::housekeeping() {
+    auto now = loop_.now();
+    for (const auto& id : state_.directory.expire(now))
+        log_.write(event_id::replica_removed, {{"backend_server", id}});
+    auto members = peers_.count(now);
+    if (members.all != state_.instances || members.silent != state_.silent_instances)
+        state_.set_members(members.all, members.silent, now);
+    bool heard_of = registry_reachable_ || now - peer_reached_at_ < internal::registry_patience;
+    state_.policy_may_be_old = !heard_of && now - registry_lost_ >= internal::registry_patience;
+    for (const auto& [name, it] : state_.limits) {
+        if (it.report_due()) {
+            peers_.send_now();
+            return;
+        }
+    }
+}
+
+bool forward_instance::ready() const {
+    return state_.policy.policy != nullptr && !state_.directory.empty() && !draining_;
+}
+
+void forward_instance::drain() {
+    if (draining_)
+        return;
+    draining_ = true;
+    drain_began_ = loop_.now();
+    log_.write(event_id::instance_stopping, {});
+    weights_.stop();
+    callers_.close_after_answers();
+    drain_timer_ = loop_.every(internal::drain_check_period, [this] { check_drained(); });
+}
+
+void forward_instance::check_drained() {
+    auto waited = loop_.now() - drain_began_;
+    auto limit = std::chrono::milliseconds(settings_.drain_limit_ms);
+    auto busy = callers_.busy_connections();
+    if (waited < internal::drain_grace || (busy > 0 && waited < limit))
+        return;
+    auto keep = std::move(drain_timer_);
+    peers_.leave();
+    log_.write(event_id::drain_finished,
+               {{"open", std::to_string(busy)},
+                {"waited_ms", std::to_string(waited / std::chrono::milliseconds(1))}});
+    log_.write(event_id::instance_stopped, {});
+    // The farewell to the store gets a moment to leave.
+    drain_timer_ = loop_.after(internal::drain_check_period, [this] { loop_.stop(); });
+}
+
+void forward_instance::reload(const forward_settings& settings) {
+    bool same = settings == settings_;
+    settings_.drain_limit_ms = settings.drain_limit_ms;
+    settings_.weights_limit_ms = settings.weights_limit_ms;
+    log_.write(event_id::settings_reloaded, {{"changed", same ? "no" : "yes"}});
+}
+
+void forward_instance::on_operator_request(
+    const std::shared_ptr<transport::front_exchange>& exchange) {
+    auto path = transport::path_of(exchange->head().target);
+    if (path == "/policy" && state_.policy.policy != nullptr)
+        exchange->reply({200, {{"Content-Type", "application/json"}}, state_.policy.text});
+    else if (path == "/metrics")
+        exchange->reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render()});
+    else if (path == "/status")
+        exchange->reply({200, {{"Content-Type", "application/json"}}, status_page()});
+    else
+        exchange->reply({404, {}, "no page has this path\n"});
+}
+
+std::string forward_instance::status_page() const {
+    auto now = loop_.now();
+    nlohmann::ordered_json page;
+    page["instance"] = settings_.instance;
+    page["data_centre"] = settings_.data_centre;
+    page["ready"] = ready();
+    page["draining"] = draining_;
+    page["policy"] = state_.policy.policy ? state_.policy.policy->version() : 0;
+    page["policy_may_be_old"] = state_.policy_may_be_old;
+    page["registry_reachable"] = registry_reachable_;
+    page["instances"] = peers_.live(now);
+    page["holds_weights_lease"] = weights_.holds_lease();
+    for (const auto& [model, it] : state_.weights)
+        page["weights"][model] = it.version;
+    for (const auto& [id, it] : state_.directory.all()) {
+        auto& row = page["backend_servers"][id];
+        row["pool"] = it.pool;
+        row["address"] = it.address;
+        row["leaving"] = it.leaving;
+        row["in_flight"] = state_.router.in_flight(id);
+        for (const auto& [model, version] : it.models)
+            row["weights"][model] = state_.router.weights_of(state_.directory, id, model);
+    }
+    for (const auto& [name, it] : state_.limits)
+        page["spent"][name] = it.spent();
+    return page.dump() + "\n";
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_rules.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "azureyoke/src/state/traffic_policy.h"
+
+namespace azureyoke::app {
+
+/// Seconds after which a caller may ask an instance again that has just started.
+constexpr double retry_when_ready_s = 0.3;
+/// Seconds after which a server that refused or failed may be usable again.
+constexpr double retry_no_server_s = 0.3;
+constexpr double least_retry_s = 0.05;
+/// A request whose route and caller name no time ends after this.
+constexpr std::int64_t longest_request_ms = 600'000;
+/// With less time left a request is not sent again: its answer would come too late.
+constexpr double least_time_to_send_ms = 15;
+/// Answers up to this size are collected, so that a broken one can be asked for again.
+constexpr std::uint64_t most_held_bytes = 64 * 1024;
+/// Bytes that may wait for a slow caller before reading from the server stops.
+constexpr std::size_t most_unwritten_bytes = 256 * 1024;
+/// Share of the time limit for new weights after which servers with older ones are not used.
+constexpr double old_weights_share = 0.7;
+/// Callers give a stream up that begins later than this many times its target, or two seconds.
+constexpr double abandoned_targets = 4;
+constexpr double least_patience_ms = 2000;
+
+/// \brief Milliseconds for which the caller waits for the start of its answer.
+inline double patience_ms(const state::forward_route& route, double left_ms) {
+    if (route.rule != state::run_rule::stream)
+        return left_ms;
+    double patience = abandoned_targets * static_cast<double>(route.target_ms);
+    return std::min(left_ms, std::max(least_patience_ms, patience));
+}
+
+/// \brief The pool that the route gives this request, by the weights of its targets. The same
+/// request always gets the same one.
+inline std::string pool_of(const state::forward_route& route, const std::string& request_id) {
+    double total = 0;
+    for (const auto& it : route.targets)
+        total += it.weight;
+    constexpr std::size_t steps = 1'000'003;
+    double point = total * static_cast<double>(std::hash<std::string>()(request_id) % steps) /
+                   static_cast<double>(steps);
+    for (const auto& it : route.targets) {
+        if (point < it.weight)
+            return it.pool;
+        point -= it.weight;
+    }
+    return route.targets.empty() ? std::string() : route.targets.back().pool;
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_session.cpp
@@ -0,0 +1,413 @@
+#include "azureyoke/src/app/forward_session.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "azureyoke/src/app/forward_rules.h"
+
+namespace azureyoke::app {
+
+using coordination::call_end;
+using transport::answer_verdict;
+
+forward_session::forward_session(forward_services& services,
+                                 std::shared_ptr<transport::front_exchange> exchange)
+    : services_(services), exchange_(std::move(exchange)) {}
+
+double forward_session::ms_left() const {
+    return coordination::to_seconds(deadline_ - services_.loop.now()) * 1000;
+}
+
+void forward_session::start() {
+    std::string why;
+    auto intent = services_.dialect.read_request(exchange_->head(), why);
+    if (!intent) {
+        refuse(400, why);
+        return;
+    }
+    intent_ = std::move(*intent);
+    policy_ = services_.state.policy.policy;
+    if (!admit())
+        return;
+    exchange_->on_closed([self = shared_from_this()] { self->on_caller_gone(); });
+    time_over_ = services_.loop.after(deadline_ - services_.loop.now(), [this] { on_time_over(); });
+    services_.state.retries(pool_).on_request(services_.loop.now());
+    dispatch();
+}
+
+bool forward_session::admit() {
+    if (policy_ == nullptr) {
+        refuse(503, "this instance holds no policy yet", retry_when_ready_s);
+        return false;
+    }
+    bool may_be_old = services_.state.policy_may_be_old;
+    route_ = policy_->find_route(intent_.host, transport::path_of(exchange_->head().target));
+    if (route_ == nullptr) {
+        if (may_be_old)
+            refuse(503, "no known route matches, and the policy may be old", retry_when_ready_s);
+        else
+            refuse(404, "no route of host \"" + intent_.host + "\" matches the path");
+        return false;
+    }
+    if (!find_workspace())
+        return false;
+    auto limit_ms = route_->timeout_ms > 0 ? route_->timeout_ms : longest_request_ms;
+    if (intent_.deadline_ms)
+        limit_ms = std::min(limit_ms, *intent_.deadline_ms);
+    deadline_ = exchange_->received() + std::chrono::milliseconds(limit_ms);
+    pool_ = pool_of(*route_, intent_.request_id);
+    question_.pool = pool_;
+    question_.model = intent_.model;
+    question_.parts = intent_.parts;
+    question_.number = static_cast<std::int64_t>(std::hash<std::string>()(intent_.request_id));
+    if (workspace_ != nullptr && workspace_->isolated)
+        question_.cache_wall = workspace_->name;
+    return within_limit();
+}
+
+bool forward_session::find_workspace() {
+    if (route_->keyless)
+        return true;
+    workspace_ = policy_->find_workspace(intent_.key);
+    if (workspace_ != nullptr)
+        return true;
+    if (services_.state.policy_may_be_old)
+        refuse(503, "the key is not known, and the policy may be old", retry_when_ready_s);
+    else
+        refuse(401, "the key belongs to no workspace");
+    return false;
+}
+
+bool forward_session::within_limit() {
+    auto* limit = workspace_ == nullptr ? nullptr : services_.state.limit(workspace_->name);
+    if (limit == nullptr)
+        return true;
+    auto now = services_.loop.now();
+    double cost = 1;
+    if (workspace_->counts_tokens)
+        cost = static_cast<double>(intent_.tokens.value_or(workspace_->unknown_tokens));
+    if (limit->take(cost, now)) {
+        cost_ = cost;
+        return true;
+    }
+    auto wait = std::max(limit->seconds_until(cost, now), least_retry_s);
+    refuse(429, "workspace \"" + workspace_->name + "\" has used its rate and burst",
+           std::min(wait, ms_left() / 3000));
+    return false;
+}
+
+bool forward_session::place() {
+    auto now = services_.loop.now();
+    if (const auto* wanted = services_.state.wanted(intent_.model)) {
+        auto limit = std::chrono::milliseconds(services_.settings.weights_limit_ms);
+        question_.newest_weights = wanted->version;
+        question_.newest_only = now - wanted->since >= limit * old_weights_share;
+    }
+    choice_ = services_.state.router.choose(services_.state.directory, question_, now);
+    if (!choice_ && !question_.excluded.empty()) {
+        question_.excluded.clear(); // each has refused or failed it once: any may be tried again
+        choice_ = services_.state.router.choose(services_.state.directory, question_, now);
+    }
+    return choice_.has_value();
+}
+
+void forward_session::dispatch() {
+    if (services_.state.policy.policy != policy_ && !route_->keyless &&
+        services_.state.policy.policy->find_workspace(intent_.key) == nullptr) {
+        refuse(may_have_run_ ? 502 : 401, "the key was withdrawn");
+        return;
+    }
+    if (!place()) {
+        refuse(may_have_run_ ? 502 : 503, "no backend server of pool \"" + pool_ + "\" is usable",
+               retry_no_server_s);
+        return;
+    }
+    double patience = patience_ms(*route_, ms_left());
+    if (sends_ == 0 && choice_->first_answer_ms > patience) {
+        auto excess = (choice_->first_answer_ms - patience) / 1000;
+        choice_.reset();
+        refuse(503, "the wait would be longer than the caller's time", excess + least_retry_s);
+        return;
+    }
+    send();
+}
+
+forward_directive forward_session::directive() const {
+    forward_directive made;
+    made.server = choice_->server;
+    made.workspace = workspace_ == nullptr ? "" : workspace_->name;
+    made.deadline_ms = std::max<std::int64_t>(1, static_cast<std::int64_t>(ms_left()));
+    made.cache_wall = question_.cache_wall;
+    made.last_event = relay_.last_id().empty() ? intent_.last_event : relay_.last_id();
+    if (question_.newest_only)
+        made.weights = question_.newest_weights;
+    return made;
+}
+
+void forward_session::send() {
+    const auto* server = services_.state.directory.find(choice_->server);
+    auto to = transport::parse_address(server == nullptr ? "" : server->address);
+    if (!to) {
+        question_.excluded.push_back(choice_->server);
+        choice_.reset();
+        try_again("server has no usable address");
+        return;
+    }
+    const auto& head = exchange_->head();
+    transport::http_request request{head.method, head.target,
+                                    services_.dialect.request_fields(head, directive()),
+                                    exchange_->body()};
+    ++sends_;
+    ++runs_;
+    sent_at_ = services_.loop.now();
+    first_answer_seen_ = false;
+    answer_failed_ = false;
+    use_ = answer_use::pass;
+    held_ = {};
+    last_server_ = choice_->server;
+    services_.state.router.on_sent(question_, *choice_, sent_at_);
+    call_ = services_.backends.send(*to, request, true, shared_from_this());
+}
+
+answer_verdict forward_session::on_head(const transport::http_head& head) {
+    auto note = services_.dialect.read_answer(head);
+    if (!note.request_id.empty() && note.request_id != intent_.request_id)
+        return answer_verdict::skip;
+    auto& router = services_.state.router;
+    if (note.running)
+        router.on_load(choice_->server, *note.running, note.waiting.value_or(0),
+                       services_.loop.now());
+    if (note.weights && !intent_.model.empty())
+        router.on_weights(choice_->server, intent_.model, *note.weights);
+    if (note.not_run || note.wrong_server) {
+        use_ = answer_use::reject;
+        return answer_verdict::take;
+    }
+    bool success = head.status >= 200 && head.status < 300;
+    if (success && !note.whole)
+        return answer_verdict::refuse;
+    answer_failed_ = head.status >= 500;
+    bool small = head.framing != transport::http_framing::chunked && head.length <= most_held_bytes;
+    bool held = !exchange_->started() && (!success || (route_->rule != state::run_rule::stream && small));
+    if (held) {
+        use_ = answer_use::hold;
+        held_ = {head.status, services_.dialect.answer_fields(head), {}};
+        return answer_verdict::take;
+    }
+    if (exchange_->started() && !success)
+        return answer_verdict::refuse; // a resumed stream can't turn into a failure
+    use_ = answer_use::pass;
+    if (!exchange_->started())
+        start_answer(head);
+    return answer_verdict::take;
+}
+
+void forward_session::start_answer(const transport::http_head& head) {
+    // A stream that may go on elsewhere has no length yet.
+    std::optional<std::uint64_t> length;
+    bool whole_length = head.framing == transport::http_framing::length ||
+                        head.framing == transport::http_framing::none;
+    if (whole_length && route_->rule != state::run_rule::stream)
+        length = head.length;
+    exchange_->start(head.status, services_.dialect.answer_fields(head), length);
+}
+
+void forward_session::note_first_answer() {
+    if (first_answer_seen_)
+        return;
+    first_answer_seen_ = true;
+    auto now = services_.loop.now();
+    services_.state.router.on_first_answer(*choice_, now - sent_at_, now);
+    services_.measures.observe(measure::first_token, "pool", pool_,
+                               coordination::to_seconds(now - exchange_->received()));
+}
+
+void forward_session::on_piece(std::string_view piece) {
+    if (ended_)
+        return;
+    switch (use_) {
+    case answer_use::reject:
+        return;
+    case answer_use::hold:
+        held_.body.append(piece);
+        return;
+    case answer_use::pass:
+        note_first_answer();
+        pass_on(route_->rule == state::run_rule::stream ? relay_.feed(piece) : std::string(piece));
+        return;
+    }
+}
+
+void forward_session::pass_on(std::string_view bytes) {
+    exchange_->write(bytes);
+    if (exchange_->unwritten() <= most_unwritten_bytes || call_ == nullptr)
+        return;
+    call_->pause(true);
+    exchange_->on_drained([weak = weak_from_this()] {
+        auto self = weak.lock();
+        if (self != nullptr && self->call_ != nullptr)
+            self->call_->pause(false);
+    });
+}
+
+void forward_session::on_end() {
+    if (ended_)
+        return;
+    switch (use_) {
+    case answer_use::reject:
+        on_not_run();
+        return;
+    case answer_use::hold:
+        note_first_answer();
+        reply_held();
+        return;
+    case answer_use::pass:
+        settle(call_end::answered);
+        if (route_->rule == state::run_rule::stream)
+            exchange_->write(relay_.finish());
+        exchange_->end();
+        finish(event_id::request_finished, "answered");
+        return;
+    }
+}
+
+void forward_session::reply_held() {
+    auto status = held_.status;
+    settle(answer_failed_ ? call_end::error : call_end::answered);
+    // These two would say that the request did not run, which the server has not said.
+    bool unproven = status == 503 || status == 429 || status == 408 || status == 421;
+    bool repeat = answer_failed_ && route_->rule == state::run_rule::repeatable;
+    if (repeat && may_send_again()) {
+        may_have_run_ = true;
+        question_.excluded.push_back(last_server_);
+        dispatch();
+        return;
+    }
+    if (unproven && route_->rule != state::run_rule::repeatable) {
+        may_have_run_ = true;
+        refuse(502, "the server answered " + std::to_string(status) + " and may have run it");
+        return;
+    }
+    exchange_->reply(held_);
+    finish(event_id::request_finished, "answered " + std::to_string(status));
+}
+
+void forward_session::on_not_run() {
+    settle(call_end::shed);
+    --runs_;
+    question_.excluded.push_back(last_server_);
+    try_again("the server did not run it");
+}
+
+void forward_session::on_failure(const transport::error& ec) {
+    if (ended_)
+        return;
+    settle(call_end::broken);
+    if (ec.bytes_left)
+        may_have_run_ = true;
+    else
+        --runs_;
+    question_.excluded.push_back(last_server_);
+    relay_.restart();
+    try_again(ec.what);
+}
+
+bool forward_session::may_send_again() const {
+    bool goes_on = route_->rule == state::run_rule::stream && route_->resumable;
+    bool repeats = route_->rule == state::run_rule::repeatable || goes_on;
+    bool safe = exchange_->started() ? goes_on : !may_have_run_ || repeats;
+    auto& state = services_.state;
+    return safe && !exchange_->over() && runs_ < route_->most_attempts &&
+           sends_ <= route_->most_attempts && ms_left() > least_time_to_send_ms &&
+           state.retries(pool_).take(state.instances, services_.loop.now());
+}
+
+void forward_session::try_again(const std::string& why) {
+    std::int64_t left_out = 0;
+    if (services_.lines.take(event_id::attempt_failed, services_.loop.now(), left_out))
+        services_.log.warn(event_id::attempt_failed,
+                           {{"request", intent_.request_id},
+                            {"backend_server", last_server_},
+                            {"why", why},
+                            {"left_out", std::to_string(left_out)}});
+    if (may_send_again()) {
+        dispatch();
+        return;
+    }
+    if (exchange_->started()) {
+        exchange_->abort();
+        finish(event_id::request_refused, "stream cut: " + why);
+        return;
+    }
+    refuse(may_have_run_ ? 502 : 503, why, retry_no_server_s);
+}
+
+void forward_session::on_time_over() {
+    if (ended_)
+        return;
+    auto keep = shared_from_this();
+    bool sent = choice_.has_value();
+    if (sent)
+        settle(first_answer_seen_ ? call_end::cancelled : call_end::broken);
+    if (exchange_->started()) {
+        exchange_->abort();
+        finish(event_id::request_refused, "stream cut: its time is over");
+        return;
+    }
+    refuse(sent || may_have_run_ ? 504 : 503, "no answer in the route's time");
+}
+
+void forward_session::on_caller_gone() {
+    if (ended_)
+        return;
+    if (choice_)
+        settle(call_end::cancelled);
+    finish(event_id::caller_left, "the caller closed the connection");
+}
+
+void forward_session::settle(call_end how) {
+    services_.state.router.on_end(*choice_, how, services_.loop.now());
+    choice_.reset();
+    call_.reset();
+}
+
+void forward_session::refuse(int status, const std::string& why,
+                             std::optional<double> retry_after_s) {
+    if (ended_)
+        return;
+    if (retry_after_s && deadline_ != transport::instant())
+        retry_after_s = std::max(0.0, std::min(*retry_after_s, ms_left() / 3000));
+    bool repeatable_later = status == 503 || status == 429;
+    auto fields = services_.dialect.refusal_fields(
+        intent_.request_id, repeatable_later ? retry_after_s : std::nullopt);
+    exchange_->reply({status, fields, why + "\n"});
+    services_.measures.count("azureyoke_refusals_total", "status", std::to_string(status));
+    finish(event_id::request_refused, std::to_string(status) + ": " + why);
+}
+
+void forward_session::finish(event_id how, const std::string& detail) {
+    if (ended_)
+        return;
+    ended_ = true;
+    time_over_.reset();
+    call_.reset();
+    auto* limit = workspace_ == nullptr ? nullptr : services_.state.limit(workspace_->name);
+    if (limit != nullptr && cost_ > 0 && sends_ == 0)
+        limit->refund(cost_);
+    std::int64_t left_out = 0;
+    auto now = services_.loop.now();
+    if (!services_.lines.take(how, now, left_out))
+        return;
+    auto took = (now - exchange_->received()).count();
+    services_.log.write(how, {{"request", intent_.request_id},
+                              {"workspace", workspace_ == nullptr ? "" : workspace_->name},
+                              {"target", route_ == nullptr ? "" : route_->name},
+                              {"took_us", std::to_string(took)},
+                              {"detail", detail},
+                              {"backend_server", last_server_},
+                              {"sends", std::to_string(sends_)},
+                              {"policy", std::to_string(policy_ ? policy_->version() : 0)},
+                              {"left_out", std::to_string(left_out)}});
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_session.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "azureyoke/src/app/forward_state.h"
+#include "azureyoke/src/coordination/event_relay.h"
+#include "azureyoke/src/transport/front_server.h"
+
+namespace azureyoke::app {
+
+/// \brief Forwards one request unchanged and passes its answer on unchanged.
+///
+/// A request is sent again only while it can't have run twice: when the server said that it did
+/// not run, when no byte left, or when its route allows repeats. A stream that may be resumed goes
+/// on at another server after its last whole event. Not thread safe.
+class forward_session : public std::enable_shared_from_this<forward_session>,
+                        public transport::backend_answer_sink {
+public:
+    forward_session(forward_services& services, std::shared_ptr<transport::front_exchange> exchange);
+
+    void start();
+
+private:
+    /// What to do with the answer under way, decided by its head.
+    enum class answer_use {
+        pass,  ///< Send it on as it comes.
+        hold,  ///< Collect it and send it on whole.
+        reject ///< The request did not run: another server may.
+    };
+
+    transport::answer_verdict on_head(const transport::http_head& head) override;
+    void on_piece(std::string_view piece) override;
+    void on_end() override;
+    void on_failure(const transport::error& ec) override;
+
+    bool admit();
+    bool find_workspace();
+    bool within_limit();
+    void dispatch();
+    bool place();
+    void send();
+    forward_directive directive() const;
+    void start_answer(const transport::http_head& head);
+    void note_first_answer();
+    void pass_on(std::string_view bytes);
+    void reply_held();
+    void on_not_run();
+    void try_again(const std::string& why);
+    bool may_send_again() const;
+    void on_time_over();
+    void on_caller_gone();
+    void settle(coordination::call_end how);
+    void refuse(int status, const std::string& why, std::optional<double> retry_after_s = {});
+    void finish(event_id how, const std::string& detail);
+
+    double ms_left() const;
+
+    forward_services& services_;
+    std::shared_ptr<transport::front_exchange> exchange_;
+    caller_intent intent_;
+    std::shared_ptr<const state::traffic_policy> policy_;
+    const state::forward_route* route_ = nullptr;
+    const state::forward_workspace* workspace_ = nullptr;
+    std::string pool_;
+    double cost_ = 0; ///< Taken from the workspace's limit.
+    transport::instant deadline_;
+    std::unique_ptr<transport::timer> time_over_;
+    coordination::placement_question question_;
+    std::optional<coordination::fleet_choice> choice_; ///< Of the call under way.
+    std::unique_ptr<transport::backend_call> call_;
+    transport::instant sent_at_;
+    answer_use use_ = answer_use::pass;
+    transport::http_response held_;
+    coordination::event_relay relay_;
+    std::string last_server_;
+    int sends_ = 0;
+    int runs_ = 0; ///< Sends that may have run.
+    bool first_answer_seen_ = false;
+    bool answer_failed_ = false; ///< The answer under way is a failure of the server's own.
+    bool may_have_run_ = false;
+    bool ended_ = false;
+};
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_state.cpp
@@ -0,0 +1,68 @@
+#include "azureyoke/src/app/forward_state.h"
+
+namespace azureyoke::app {
+
+namespace internal {
+namespace {
+
+coordination::fleet_router_settings router_settings_of(const forward_settings& settings) {
+    coordination::fleet_router_settings made;
+    made.data_centre = settings.data_centre;
+    return made;
+}
+
+coordination::service_retry_settings retry_settings_of(const forward_settings& settings) {
+    coordination::service_retry_settings made;
+    made.share = settings.retry_share;
+    made.reserve = settings.retry_reserve;
+    made.window = std::chrono::milliseconds(settings.retry_window_ms);
+    return made;
+}
+
+} // namespace
+} // namespace internal
+
+forward_state::forward_state(const forward_settings& settings)
+    : directory({}), router(internal::router_settings_of(settings)),
+      retry_settings_(internal::retry_settings_of(settings)) {}
+
+void forward_state::set_policy(const policy_copy& copy, transport::instant now) {
+    policy = copy;
+    std::map<std::string, coordination::fleet_limit> kept;
+    for (const auto& it : copy.policy->workspaces()) {
+        if (it.rate <= 0)
+            continue;
+        auto found = limits.find(it.name);
+        if (found == limits.end()) {
+            auto made = kept.emplace(it.name, coordination::fleet_limit({}, it.rate, it.burst, now));
+            made.first->second.set_members(instances, silent_instances, now);
+            continue;
+        }
+        found->second.set(it.rate, it.burst, now);
+        kept.emplace(it.name, std::move(found->second));
+    }
+    limits = std::move(kept);
+}
+
+coordination::service_retry_budget& forward_state::retries(const std::string& pool) {
+    return retries_.try_emplace(pool, retry_settings_).first->second;
+}
+
+coordination::fleet_limit* forward_state::limit(const std::string& workspace) {
+    auto found = limits.find(workspace);
+    return found == limits.end() ? nullptr : &found->second;
+}
+
+void forward_state::set_members(int all, int silent, transport::instant now) {
+    instances = all;
+    silent_instances = silent;
+    for (auto& [name, it] : limits)
+        it.set_members(all, silent, now);
+}
+
+const named_weights* forward_state::wanted(const std::string& model) const {
+    auto found = weights.find(model);
+    return found == weights.end() ? nullptr : &found->second;
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_state.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "azureyoke/src/app/event_log.h"
+#include "azureyoke/src/app/forward_ports.h"
+#include "azureyoke/src/app/forward_settings.h"
+#include "azureyoke/src/app/line_budget.h"
+#include "azureyoke/src/app/metrics.h"
+#include "azureyoke/src/coordination/fleet_directory.h"
+#include "azureyoke/src/coordination/fleet_limit.h"
+#include "azureyoke/src/coordination/fleet_router.h"
+#include "azureyoke/src/coordination/service_retry_budget.h"
+#include "azureyoke/src/transport/backend_pool.h"
+
+namespace azureyoke::app {
+
+/// \brief Weights that operators want for a model, and when this instance learned of them.
+struct named_weights {
+    std::int64_t version = 0;
+    transport::instant since;
+
+    friend bool operator==(const named_weights&, const named_weights&) = default;
+};
+
+/// \brief What an instance believes of policy, fleet and limits. Not thread safe.
+struct forward_state {
+    explicit forward_state(const forward_settings& settings);
+
+    void set_policy(const policy_copy& copy, transport::instant now);
+    coordination::service_retry_budget& retries(const std::string& pool);
+    /// \returns the limit of a workspace, or null when it has none.
+    coordination::fleet_limit* limit(const std::string& workspace);
+    void set_members(int all, int silent, transport::instant now);
+    const named_weights* wanted(const std::string& model) const;
+
+    policy_copy policy;
+    /// The registry and all peers have been silent for long: what is not known may exist.
+    bool policy_may_be_old = false;
+    coordination::fleet_directory directory;
+    coordination::fleet_router router;
+    std::map<std::string, coordination::fleet_limit> limits;
+    std::map<std::string, named_weights> weights;
+    int instances = 1;
+    int silent_instances = 0;
+
+private:
+    coordination::service_retry_settings retry_settings_;
+    std::map<std::string, coordination::service_retry_budget> retries_;
+};
+
+/// \brief What the forwarding of requests depends on. All outlive every request.
+struct forward_services {
+    const forward_settings& settings;
+    transport::event_loop& loop;
+    transport::backend_pool& backends;
+    const forward_dialect& dialect;
+    forward_state& state;
+    const event_log& log;
+    line_budget& lines;
+    metrics& measures;
+};
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/peer_board.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "azureyoke/src/app/event_log.h"
+#include "azureyoke/src/app/forward_ports.h"
+#include "azureyoke/src/app/forward_settings.h"
+#include "azureyoke/src/app/peer_report.h"
+#include "azureyoke/src/transport/datagram_socket.h"
+
+namespace azureyoke::app {
+
+/// \brief Knows the other instances and exchanges reports with them by datagrams.
+///
+/// Instances find each other by records in the store, by seeds, and by hearing each other. A lost
+/// report is made good by the next one. Not thread safe.
+class peer_board {
+public:
+    using report_source = std::function<peer_report()>;
+    using report_handler = std::function<void(const peer_report&)>;
+
+    struct members {
+        int all = 1;    ///< That share limits, this one included.
+        int silent = 0; ///< Of them.
+
+        friend bool operator==(const members&, const members&) = default;
+    };
+
+    peer_board(transport::event_loop& loop, const forward_settings& settings, record_store& records,
+               const event_log& log, report_source source, report_handler on_report);
+
+    transport::result<transport::address> start();
+    /// \brief Sends a report to all peers now.
+    void send_now();
+    /// \brief Takes this instance off the list; peers stop counting it.
+    void leave();
+
+    members count(transport::instant now) const;
+    /// \brief Names of instances that were heard lately and are not leaving, own included, sorted.
+    std::vector<std::string> live(transport::instant now) const;
+    bool lease_holder_heard(transport::instant now) const;
+    bool any_heard(transport::instant now) const;
+    /// \brief Operator addresses from which a newer policy than `version` can be read.
+    std::optional<transport::address> holder_of_newer_policy(std::int64_t version,
+                                                             transport::instant now) const;
+
+private:
+    struct peer {
+        transport::address at;
+        peer_report last;
+        transport::instant heard;
+        transport::instant listed; ///< Last known to be a member although not heard.
+        bool is_silent = false;
+    };
+
+    void on_datagram(std::string_view bytes);
+    void read_records();
+    void write_record();
+    void tick();
+
+    transport::event_loop& loop_;
+    const forward_settings& settings_;
+    record_store& records_;
+    const event_log& log_;
+    report_source source_;
+    report_handler on_report_;
+    transport::datagram_socket socket_;
+    std::map<std::string, peer> peers_;
+    std::set<transport::address> seeds_; ///< Peers not heard yet.
+    std::unique_ptr<transport::timer> tick_timer_;
+    std::unique_ptr<transport::timer> retry_timer_;
+    transport::instant next_send_;
+    transport::instant next_list_;
+    bool recorded_ = false;
+    bool leaving_ = false;
+};
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/peer_report.cpp
@@ -0,0 +1,48 @@
+#include "azureyoke/src/app/peer_report.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azureyoke::app {
+
+using nlohmann::json;
+
+// Arrays in a fixed order keep a report within one datagram.
+std::string to_bytes(const peer_report& report) {
+    auto notices = json::array();
+    for (const auto& it : report.notices)
+        notices.push_back({it.server, it.model, it.version, it.changing});
+    json body = {report.instance,      report.incarnation,   report.peers,
+                 report.operators,     report.leaving,       report.holds_lease,
+                 report.policy_version, report.spent,        report.named_weights,
+                 notices,              report.reaches_registry};
+    std::string bytes;
+    json::to_cbor(body, bytes);
+    return bytes;
+}
+
+std::optional<peer_report> parse_peer_report(std::string_view bytes) {
+    auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!body.is_array() || body.size() != 11)
+        return std::nullopt;
+    try {
+        peer_report made;
+        made.instance = body[0].get<std::string>();
+        made.incarnation = body[1].get<std::uint64_t>();
+        made.peers = body[2].get<std::string>();
+        made.operators = body[3].get<std::string>();
+        made.leaving = body[4].get<bool>();
+        made.holds_lease = body[5].get<bool>();
+        made.policy_version = body[6].get<std::int64_t>();
+        made.spent = body[7].get<std::map<std::string, double>>();
+        made.named_weights = body[8].get<std::map<std::string, std::int64_t>>();
+        for (const auto& it : body[9])
+            made.notices.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
+                                    it.at(2).get<std::int64_t>(), it.at(3).get<bool>()});
+        made.reaches_registry = body[10].get<bool>();
+        return made;
+    } catch (const json::exception&) {
+        return std::nullopt; // a field of another type: the sender is no instance of ours
+    }
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/peer_report.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace azureyoke::app {
+
+/// \brief A server whose weights were seen or are being changed.
+struct weights_notice {
+    std::string server;
+    std::string model;
+    std::int64_t version = 0;
+    bool changing = false; ///< It was ordered and takes no new work; `version` is not yet there.
+
+    friend bool operator==(const weights_notice&, const weights_notice&) = default;
+};
+
+/// \brief What one instance tells the others, in one datagram.
+struct peer_report {
+    std::string instance;
+    std::uint64_t incarnation = 0;
+    std::string peers;     ///< Address for these reports.
+    std::string operators; ///< Address from which the policy can be read.
+    bool leaving = false;
+    bool holds_lease = false;
+    bool reaches_registry = false;
+    std::int64_t policy_version = 0;
+    std::map<std::string, double> spent; ///< Of each workspace's limit, since its start.
+    std::map<std::string, std::int64_t> named_weights;
+    std::vector<weights_notice> notices;
+
+    friend bool operator==(const peer_report&, const peer_report&) = default;
+};
+
+/// \brief CBOR. Thread safe.
+std::string to_bytes(const peer_report& report);
+/// \returns nothing when the bytes are no report.
+std::optional<peer_report> parse_peer_report(std::string_view bytes);
+
+} // namespace azureyoke::app
--- a/azureyoke/src/app/settings.cpp
+++ b/azureyoke/src/app/settings.cpp
@@ -1,38 +1,9 @@
 #include "azureyoke/src/app/settings.h"
 
-#include "azureyoke/src/state/json_reader.h"
+#include "azureyoke/src/app/settings_reader.h"
 
 namespace azureyoke::app {
 
-namespace internal {
-namespace {
-
-transport::address read_address(state::field_reader& reader, const std::string& field) {
-    auto text = reader.text(field);
-    auto parsed = transport::parse_address(text);
-    if (parsed)
-        return *parsed;
-    if (!text.empty())
-        reader.fault(field, parsed.error().what);
-    return {};
-}
-
-std::vector<transport::address> read_addresses(state::field_reader& reader,
-                                               const std::string& field) {
-    std::vector<transport::address> list;
-    for (const auto& it : reader.texts(field)) {
-        auto parsed = transport::parse_address(it);
-        if (parsed)
-            list.push_back(*parsed);
-        else
-            reader.fault(field, parsed.error().what);
-    }
-    return list;
-}
-
-} // namespace
-} // namespace internal
-
 tl::expected<instance_settings, std::vector<state::error>> parse_settings(std::string_view text) {
     auto parsed = state::parse_json_text(text);
     if (!parsed)
@@ -43,11 +14,11 @@
     made.instance = reader.text("instance");
     made.fleet = reader.text("fleet", "azureyoke");
     made.data_centre = reader.text("data_centre");
-    made.callers = internal::read_address(reader, "callers");
-    made.operators = internal::read_address(reader, "operators");
-    made.peers = internal::read_address(reader, "peers");
-    made.platform = internal::read_address(reader, "platform");
-    made.seeds = internal::read_addresses(reader, "seeds");
+    made.callers = read_address_field(reader, "callers");
+    made.operators = read_address_field(reader, "operators");
+    made.peers = read_address_field(reader, "peers");
+    made.platform = read_address_field(reader, "platform");
+    made.seeds = read_address_fields(reader, "seeds");
     auto number = [&](const char* field, std::int64_t low, std::int64_t high, std::int64_t& value) {
         value = reader.integer(field, low, high, value);
     };
--- /dev/null
+++ b/azureyoke/src/app/weights_service.cpp
@@ -0,0 +1,187 @@
+#include "azureyoke/src/app/weights_service.h"
+
+#include <algorithm>
+
+#include "azureyoke/src/transport/boot_clock.h"
+
+namespace azureyoke::app {
+
+namespace internal {
+namespace {
+
+constexpr transport::duration tick_period = std::chrono::milliseconds(100);
+/// An instance leaves the lease to those before it in order for this long each.
+constexpr transport::duration turn = std::chrono::milliseconds(600);
+constexpr transport::duration notice_life = std::chrono::seconds(2);
+constexpr const char* lease_record = "lease/weights";
+
+coordination::lease_settings lease_settings_for_orders() {
+    coordination::lease_settings made;
+    made.lapse = std::chrono::milliseconds(1800);
+    made.margin = std::chrono::milliseconds(200);
+    made.period = std::chrono::milliseconds(500);
+    // Servers that check no fences must not see two holders within three seconds.
+    made.longest_effect = std::chrono::milliseconds(3000);
+    made.answer_timeout = std::chrono::milliseconds(1200);
+    return made;
+}
+
+} // namespace
+} // namespace internal
+
+weights_service::weights_service(transport::event_loop& loop, const forward_settings& settings,
+                                 std::uint64_t incarnation, forward_state& state,
+                                 record_store& records, server_orders& orders, peer_board& peers,
+                                 const event_log& log)
+    : loop_(loop), settings_(settings), state_(state), records_(records), orders_(orders),
+      peers_(peers), log_(log),
+      lease_(internal::lease_settings_for_orders(), settings.instance, incarnation), rollout_({}) {}
+
+void weights_service::start() {
+    timer_ = loop_.every(internal::tick_period, [this] { tick(); });
+}
+
+bool weights_service::holds_lease() const {
+    return lease_.held(transport::boot_now());
+}
+
+std::vector<coordination::rollout_server> weights_service::servers() const {
+    std::vector<coordination::rollout_server> list;
+    for (const auto& [id, it] : state_.directory.all()) {
+        if (it.leaving)
+            continue;
+        for (const auto& [model, version] : it.models) {
+            const auto* wanted = state_.wanted(model);
+            if (wanted == nullptr)
+                continue;
+            list.push_back({id, model, state_.router.weights_of(state_.directory, id, model),
+                            wanted->version, it.orders, state_.router.in_flight(id)});
+        }
+    }
+    return list;
+}
+
+// One candidate at a time spares the store the writes of all others. Each waits for those before
+// it in the order of names, so that a dead first one is followed soon.
+bool weights_service::my_turn(transport::instant now) {
+    if (holds_lease())
+        return true;
+    if (peers_.lease_holder_heard(now))
+        return false;
+    auto live = peers_.live(now);
+    auto place = std::find(live.begin(), live.end(), settings_.instance) - live.begin();
+    return now - work_since_ >= internal::turn * place;
+}
+
+void weights_service::tick() {
+    auto now = loop_.now();
+    auto list = servers();
+    bool work = !stopping_ && std::any_of(list.begin(), list.end(), [](const auto& it) {
+        return it.weights < it.wanted;
+    });
+    if (!work)
+        work_since_ = {};
+    else if (work_since_ == transport::instant())
+        work_since_ = now;
+    lease_.want(work && my_turn(now));
+    for (const auto& it : lease_.tick(transport::boot_now()))
+        run(it);
+    bool holds = holds_lease();
+    if (holds != held_) {
+        held_ = holds;
+        if (holds)
+            log_.write(event_id::lease_taken, {{"fence", std::to_string(lease_.fence())}});
+        peers_.send_now();
+    }
+    if (!holds || !work) {
+        rollout_.clear();
+        return;
+    }
+    for (const auto& it : rollout_.tick(list, now)) {
+        if (it.step == coordination::weights_step::order)
+            order(it);
+        else
+            look(it);
+    }
+}
+
+void weights_service::run(const coordination::lease_action& action) {
+    if (action.step == coordination::lease_step::read_row) {
+        records_.read(internal::lease_record, [this, number = action.number](auto record) {
+            if (!record) {
+                lease_.on_read_failed(number);
+                return;
+            }
+            auto row = state::parse_lease_row(record->value);
+            if (record->version != 0 && !row)
+                log_.warn(event_id::platform_row_unreadable, {{"row", internal::lease_record}});
+            auto now = transport::boot_now();
+            for (const auto& it : lease_.on_row(number, record->version,
+                                                row.value_or(state::lease_row()), now))
+                run(it);
+        });
+        return;
+    }
+    records_.write(internal::lease_record, action.expected_version, state::to_text(action.row),
+                   [this, number = action.number](auto result, std::int64_t version) {
+                       lease_.on_write(number, result, version);
+                       if (holds_lease() && !held_)
+                           tick();
+                   });
+}
+
+void weights_service::tell(const weights_notice& notice) {
+    auto now = loop_.now();
+    std::erase_if(told_, [&](const auto& it) {
+        return it.what.server == notice.server || now - it.at > internal::notice_life;
+    });
+    told_.push_back({notice, now});
+    peers_.send_now();
+}
+
+std::vector<weights_notice> weights_service::notices() const {
+    std::vector<weights_notice> list;
+    auto now = loop_.now();
+    for (const auto& it : told_) {
+        if (now - it.at <= internal::notice_life)
+            list.push_back(it.what);
+    }
+    return list;
+}
+
+void weights_service::order(const coordination::weights_action& action) {
+    const auto* server = state_.directory.find(action.server);
+    if (server == nullptr)
+        return;
+    state_.router.on_change_announced(action.server, loop_.now());
+    tell({action.server, action.model, action.weights, true});
+    log_.write(event_id::order_sent, {{"backend_server", action.server},
+                                      {"weights", std::to_string(action.weights)},
+                                      {"fence", std::to_string(lease_.fence())}});
+    orders_.order(*server, action, settings_.instance, lease_.fence(),
+                  [this, action](coordination::order_outcome outcome) {
+                      rollout_.on_order(action.server, outcome, loop_.now());
+                      if (outcome == coordination::order_outcome::refused)
+                          log_.warn(event_id::order_refused, {{"backend_server", action.server}});
+                  });
+}
+
+void weights_service::look(const coordination::weights_action& action) {
+    const auto* server = state_.directory.find(action.server);
+    if (server == nullptr)
+        return;
+    orders_.look(*server, [this, action](std::optional<server_look> seen) {
+        if (!seen)
+            return;
+        rollout_.on_look(action.server, seen->orders, seen->busy);
+        auto found = seen->weights.find(action.model);
+        if (found == seen->weights.end())
+            return;
+        if (found->second >= action.weights && !seen->busy) {
+            state_.router.on_weights(action.server, action.model, found->second);
+            tell({action.server, action.model, found->second, false});
+        }
+    });
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/coordination/fleet_limit.cpp
@@ -0,0 +1,73 @@
+#include "azureyoke/src/coordination/fleet_limit.h"
+
+#include <algorithm>
+
+namespace azureyoke::coordination {
+
+fleet_limit::fleet_limit(const fleet_limit_settings& settings, double rate, double burst,
+                         instant now)
+    : settings_(settings), rate_(rate), burst_(burst), refilled_(now) {}
+
+void fleet_limit::refill(instant now) {
+    if (now <= refilled_)
+        return;
+    level_ = std::min(burst_, level_ + rate_ * heard_share_ * to_seconds(now - refilled_));
+    refilled_ = now;
+}
+
+void fleet_limit::set(double rate, double burst, instant now) {
+    refill(now);
+    rate_ = rate;
+    burst_ = burst;
+    level_ = std::min(level_, burst_);
+}
+
+void fleet_limit::set_members(int all, int silent, instant now) {
+    refill(now);
+    heard_share_ = all <= 0 ? 1.0 : static_cast<double>(all - silent) / all;
+}
+
+bool fleet_limit::take(double cost, instant now) {
+    refill(now);
+    // A request larger than the burst is let through by a full bucket, which then owes the rest.
+    if (level_ < std::min(cost, burst_))
+        return false;
+    level_ -= cost;
+    spent_ += cost;
+    return true;
+}
+
+void fleet_limit::refund(double cost) {
+    // The counter only rises: peers see a refund as spending that does not come.
+    level_ = std::min(burst_, level_ + cost);
+}
+
+void fleet_limit::on_peer_spent(const std::string& peer, std::uint64_t incarnation, double total,
+                                instant now) {
+    refill(now);
+    auto [found, fresh] = peers_.try_emplace(peer);
+    auto& it = found->second;
+    bool restarted = !fresh && incarnation > it.incarnation;
+    if (!fresh && incarnation < it.incarnation)
+        return;
+    bool was_silent = !fresh && now - it.heard > settings_.silence;
+    double base = restarted ? 0 : it.total;
+    if (!fresh && !was_silent && total > base)
+        level_ -= total - base;
+    it.total = restarted ? total : std::max(it.total, total);
+    it.incarnation = incarnation;
+    it.heard = now;
+}
+
+double fleet_limit::seconds_until(double cost, instant now) {
+    refill(now);
+    double lacking = std::min(cost, burst_) - level_;
+    double rate = rate_ * heard_share_;
+    return lacking <= 0 || rate <= 0 ? 0 : lacking / rate;
+}
+
+bool fleet_limit::report_due() const {
+    return spent_ - reported_ > burst_ * settings_.report_share;
+}
+
+} // namespace azureyoke::coordination
--- /dev/null
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "azureyoke/src/coordination/time.h"
+
+namespace azureyoke::coordination {
+
+struct fleet_limit_settings {
+    duration silence = std::chrono::milliseconds(1500); ///< Then a member's spending is unknown.
+    double report_share = 0.04; ///< Of a burst: spending that peers are told of at once.
+
+    friend bool operator==(const fleet_limit_settings&, const fleet_limit_settings&) = default;
+};
+
+/// \brief One workspace's limit over all instances: a bucket of which each instance keeps a copy.
+///
+/// Each instance takes its own spending from its copy at once and that of its peers as they report
+/// it, by counters that only rise, so that a lost report is made good by the next one. While a
+/// member is silent its even part of the rate is held back, so that both sides of a cut together
+/// stay within the limit. A bucket starts empty, since a restarted instance does not know what was
+/// spent before. Answers a hot workspace whose callers are spread unevenly over the instances.
+/// Pure. Not thread safe.
+class fleet_limit {
+public:
+    fleet_limit(const fleet_limit_settings& settings, double rate, double burst, instant now);
+
+    /// \brief Changes the limit. What is held shrinks with the burst and never grows at once.
+    void set(double rate, double burst, instant now);
+    /// \brief Counted members, this instance included, and how many of them are silent.
+    void set_members(int all, int silent, instant now);
+    /// \returns whether `cost` may be spent, and spends it.
+    bool take(double cost, instant now);
+    /// \brief Gives back what was not used.
+    void refund(double cost);
+    /// \brief A peer's counter. A peer's first report, or its first after silence, sets the base.
+    void on_peer_spent(const std::string& peer, std::uint64_t incarnation, double total,
+                       instant now);
+    /// \brief Seconds until `cost` can be spent, if nobody else spends.
+    double seconds_until(double cost, instant now);
+
+    /// \brief What this instance has spent since its start.
+    double spent() const { return spent_; }
+
+    /// \brief Whether peers must be told of the spending now.
+    bool report_due() const;
+
+    void on_reported() { reported_ = spent_; }
+
+private:
+    struct peer_counter {
+        std::uint64_t incarnation = 0;
+        double total = 0;
+        instant heard;
+    };
+
+    void refill(instant now);
+
+    fleet_limit_settings settings_;
+    double rate_;
+    double burst_;
+    double level_ = 0;
+    instant refilled_;
+    double heard_share_ = 1;
+    double spent_ = 0;
+    double reported_ = 0;
+    std::map<std::string, peer_counter> peers_;
+};
+
+} // namespace azureyoke::coordination
--- a/azureyoke/src/main.cpp
+++ b/azureyoke/src/main.cpp
@@ -1,8 +1,10 @@
 #include <gflags/gflags.h>
 
 #include "azureyoke/src/app/commands.h"
+#include "platform/commands.h"
 
 int main(int argc, char** argv) {
+    azureyoke::app::add_command(azureyoke::platform::route_command());
     gflags::SetUsageMessage(azureyoke::app::help_text(""));
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::vector<std::string> words(argv + 1, argv + argc);
--- a/azureyoke/src/state/json_reader.cpp
+++ b/azureyoke/src/state/json_reader.cpp
@@ -209,6 +209,19 @@
     return value->get<std::int64_t>();
 }
 
+double field_reader::number(const std::string& field, double low, double high, double fallback) {
+    const auto* value = find(field, false);
+    if (value == nullptr)
+        return fallback;
+    bool fits =
+        value->is_number() && value->get<double>() >= low && value->get<double>() <= high;
+    if (!fits) {
+        fault(field, "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
+        return fallback;
+    }
+    return value->get<double>();
+}
+
 bool field_reader::boolean(const std::string& field, bool fallback) {
     const auto* value = find(field, false);
     if (value == nullptr)
--- a/azureyoke/src/state/json_reader.h
+++ b/azureyoke/src/state/json_reader.h
@@ -34,6 +34,8 @@
     std::string text(const std::string& field, const std::optional<std::string>& fallback = {});
     std::int64_t integer(const std::string& field, std::int64_t low, std::int64_t high,
                          std::optional<std::int64_t> fallback = {});
+    /// \brief A whole or fractional number.
+    double number(const std::string& field, double low, double high, double fallback);
     bool boolean(const std::string& field, bool fallback);
     std::vector<std::string> texts(const std::string& field);
     /// \brief One reader for each object of the array `field`.
--- /dev/null
+++ b/azureyoke/src/transport/backend_fetch.cpp
@@ -0,0 +1,58 @@
+#include "azureyoke/src/transport/backend_fetch.h"
+
+namespace azureyoke::transport {
+
+namespace internal {
+namespace {
+
+class fetch_sink : public backend_answer_sink, public std::enable_shared_from_this<fetch_sink> {
+public:
+    fetch_sink(event_loop& loop, std::function<void(result<http_response>)> done)
+        : loop_(loop), done_(std::move(done)) {}
+
+    void begin(backend_pool& pool, const address& to, const http_request& request,
+               duration timeout) {
+        timer_ = loop_.after(timeout, [this] {
+            finish(tl::unexpected(error{errc::timed_out, "no answer in time", true}));
+        });
+        call_ = pool.send(to, request, true, shared_from_this());
+    }
+
+    answer_verdict on_head(const http_head& head) override {
+        answer_.status = head.status;
+        answer_.fields = head.fields;
+        return answer_verdict::take;
+    }
+
+    void on_piece(std::string_view piece) override { answer_.body.append(piece); }
+
+    void on_end() override { finish(std::move(answer_)); }
+
+    void on_failure(const error& ec) override { finish(tl::unexpected(ec)); }
+
+private:
+    void finish(result<http_response> answer) {
+        auto keep = shared_from_this();
+        timer_.reset();
+        call_.reset();
+        if (auto done = std::exchange(done_, nullptr))
+            done(std::move(answer));
+    }
+
+    event_loop& loop_;
+    std::function<void(result<http_response>)> done_;
+    http_response answer_;
+    std::unique_ptr<backend_call> call_;
+    std::unique_ptr<timer> timer_;
+};
+
+} // namespace
+} // namespace internal
+
+void fetch(event_loop& loop, backend_pool& pool, const address& to, const http_request& request,
+           duration timeout, std::function<void(result<http_response>)> done) {
+    auto sink = std::make_shared<internal::fetch_sink>(loop, std::move(done));
+    sink->begin(pool, to, request, timeout);
+}
+
+} // namespace azureyoke::transport
--- /dev/null
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -0,0 +1,304 @@
+#include "azureyoke/src/transport/backend_pool.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace azureyoke::transport {
+
+namespace internal {
+namespace {
+
+constexpr duration sweep_period = std::chrono::seconds(1);
+/// Stale answers that one call may drop before its connection is given up.
+constexpr int most_skipped = 2;
+/// A server that says when it closes idle connections is believed with this much to spare.
+constexpr duration keep_alive_margin = std::chrono::milliseconds(500);
+
+std::string render(const http_request& request) {
+    std::string out;
+    out.reserve(request.body.size() + 512);
+    out = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& it : request.fields) {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+    bool has_body = !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
+                    request.method == "PATCH";
+    if (has_body)
+        out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+/// \returns the `timeout` of a Keep-Alive field.
+std::optional<duration> announced_idle(const http_fields& fields) {
+    auto text = find_field(fields, "Keep-Alive");
+    auto at = text ? text->find("timeout=") : std::string::npos;
+    if (at == std::string::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char* begin = text->data() + at + 8;
+    if (std::from_chars(begin, text->data() + text->size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+} // namespace internal
+
+/// One connection to a backend server, idle or with a call on it.
+class backend_connection : public std::enable_shared_from_this<backend_connection>,
+                           private tcp_stream_sink,
+                           private http_reader_sink {
+public:
+    backend_connection(backend_pool& pool, const address& to)
+        : pool_(pool.self_), loop_(pool.loop_), to_(to), idle_limit_(pool.limits_.longest_idle),
+          reader_(http_reader_kind::answers, pool.limits_.head_bytes, *this),
+          stream_(pool.loop_, to, *this) {}
+
+    /// \returns the number of the call on this connection.
+    int begin(const http_request& request, std::shared_ptr<backend_answer_sink> sink,
+              duration connect_timeout) {
+        sink_ = std::move(sink);
+        skipped_ = 0;
+        verdict_.reset();
+        if (request.method == "HEAD")
+            reader_.expect_no_body();
+        if (!stream_.connected())
+            connect_timer_ = loop_.after(connect_timeout, [this] {
+                fail(errc::timed_out, "no connection to " + to_string(to_) + " in time");
+            });
+        calls_ += 1;
+        stream_.write(internal::render(request));
+        return calls_;
+    }
+
+    bool carries(int call) const { return !closed_ && sink_ != nullptr && call == calls_; }
+
+    void cancel(int call) {
+        if (!carries(call))
+            return;
+        sink_.reset();
+        close();
+    }
+
+    void pause(int call, bool paused) {
+        if (carries(call))
+            stream_.pause(paused);
+    }
+
+    const address& to() const { return to_; }
+
+    bool closed() const { return closed_; }
+
+    bool is_fresh(instant now) const { return now - idle_since_ < idle_limit_; }
+
+    void close() {
+        if (closed_)
+            return;
+        closed_ = true;
+        connect_timer_.reset();
+        stream_.pause(true);
+        if (*pool_ != nullptr)
+            (*pool_)->forget(*this);
+        loop_.defer([keep = shared_from_this()] {});
+    }
+
+private:
+    void on_connected() override { connect_timer_.reset(); }
+
+    void on_bytes(std::string_view bytes) override {
+        auto keep = shared_from_this();
+        while (!bytes.empty() && !closed_) {
+            if (sink_ == nullptr) {
+                close(); // bytes that answer no request
+                return;
+            }
+            bytes.remove_prefix(reader_.feed(bytes));
+            if (closed_)
+                return;
+            if (!reader_.failure().empty()) {
+                fail(errc::connection_lost, "the answer is not HTTP: " + reader_.failure());
+                return;
+            }
+            if (ended_)
+                finish(!bytes.empty());
+        }
+    }
+
+    void on_end(bool reset) override {
+        auto keep = shared_from_this();
+        if (closed_)
+            return;
+        if (sink_ == nullptr) {
+            close();
+            return;
+        }
+        if (!reset) {
+            reader_.feed_end();
+            if (closed_)
+                return;
+            if (ended_) {
+                finish(true);
+                return;
+            }
+        }
+        fail(stream_.bytes_left() ? errc::connection_lost : errc::connect_failed,
+             stream_.bytes_left() ? "connection lost before the answer was whole"
+                                  : "no connection to " + to_string(to_));
+    }
+
+    void on_head(http_head head) override {
+        if (sink_ == nullptr || closed_)
+            return;
+        if (head.status < 200) {
+            verdict_ = answer_verdict::skip; // interim
+            return;
+        }
+        keeps_ = head.keep_alive && head.framing != http_framing::until_close;
+        if (auto limit = internal::announced_idle(head.fields))
+            idle_limit_ = std::min(idle_limit_, *limit - internal::keep_alive_margin);
+        auto sink = sink_;
+        verdict_ = sink->on_head(head);
+        if (verdict_ == answer_verdict::skip && ++skipped_ > internal::most_skipped)
+            verdict_ = answer_verdict::refuse;
+        if (verdict_ == answer_verdict::refuse)
+            fail(errc::connection_lost, "the answer belongs to another request");
+    }
+
+    void on_body(std::string_view piece) override {
+        if (sink_ == nullptr || closed_ || verdict_ != answer_verdict::take)
+            return;
+        auto sink = sink_;
+        sink->on_piece(piece);
+    }
+
+    void on_complete() override {
+        if (verdict_ == answer_verdict::skip)
+            verdict_.reset(); // the next answer may be the one
+        else
+            ended_ = true;
+    }
+
+    void finish(bool more_bytes) {
+        ended_ = false;
+        auto sink = std::exchange(sink_, nullptr);
+        // A server that answers early reads the rest of the body later, or not at all.
+        bool whole = stream_.unwritten() == 0;
+        if (*pool_ != nullptr && keeps_ && whole && !more_bytes) {
+            idle_since_ = loop_.now();
+            (*pool_)->keep(shared_from_this());
+        } else {
+            close();
+        }
+        sink->on_end();
+    }
+
+    void fail(errc code, const std::string& what) {
+        if (closed_)
+            return;
+        auto sink = std::exchange(sink_, nullptr);
+        bool left = stream_.bytes_left() || calls_ > 1;
+        close();
+        if (sink != nullptr)
+            sink->on_failure({code, what, left});
+    }
+
+    std::shared_ptr<backend_pool*> pool_;
+    event_loop& loop_;
+    address to_;
+    duration idle_limit_;
+    http_reader reader_;
+    tcp_stream stream_;
+    std::shared_ptr<backend_answer_sink> sink_;
+    std::optional<answer_verdict> verdict_;
+    std::unique_ptr<timer> connect_timer_;
+    instant idle_since_;
+    int skipped_ = 0;
+    int calls_ = 0;
+    bool keeps_ = false;
+    bool ended_ = false;
+    bool closed_ = false;
+};
+
+backend_call::backend_call(std::shared_ptr<backend_connection> connection, int number)
+    : connection_(std::move(connection)), number_(number) {}
+
+backend_call::~backend_call() {
+    connection_->cancel(number_);
+}
+
+void backend_call::pause(bool paused) {
+    connection_->pause(number_, paused);
+}
+
+backend_pool::backend_pool(event_loop& loop, const backend_pool_limits& limits)
+    : loop_(loop), limits_(limits), self_(std::make_shared<backend_pool*>(this)) {
+    sweep_timer_ = loop_.every(internal::sweep_period, [this] { sweep(); });
+}
+
+backend_pool::~backend_pool() {
+    *self_ = nullptr;
+    for (auto& [at, list] : idle_) {
+        for (auto& it : list)
+            it->close();
+    }
+}
+
+std::shared_ptr<backend_connection> backend_pool::acquire(const address& to, bool reuse) {
+    auto found = idle_.find(to);
+    if (reuse && found != idle_.end()) {
+        auto& list = found->second;
+        while (!list.empty()) {
+            auto it = list.back();
+            list.pop_back();
+            if (it->is_fresh(loop_.now()))
+                return it;
+            it->close();
+        }
+    }
+    return std::make_shared<backend_connection>(*this, to);
+}
+
+std::unique_ptr<backend_call> backend_pool::send(const address& to, const http_request& request,
+                                                 bool reuse,
+                                                 std::shared_ptr<backend_answer_sink> sink) {
+    auto connection = acquire(to, reuse);
+    int number = connection->begin(request, std::move(sink), limits_.connect_timeout);
+    return std::make_unique<backend_call>(std::move(connection), number);
+}
+
+void backend_pool::keep(const std::shared_ptr<backend_connection>& connection) {
+    auto& list = idle_[connection->to()];
+    if (list.size() < limits_.idle_connections)
+        list.push_back(connection);
+    else
+        connection->close();
+}
+
+void backend_pool::forget(backend_connection& connection) {
+    auto found = idle_.find(connection.to());
+    if (found == idle_.end())
+        return;
+    std::erase_if(found->second, [&](const auto& it) { return it.get() == &connection; });
+    if (found->second.empty())
+        idle_.erase(found);
+}
+
+void backend_pool::sweep() {
+    auto now = loop_.now();
+    std::vector<std::shared_ptr<backend_connection>> stale;
+    for (const auto& [at, list] : idle_) {
+        for (const auto& it : list) {
+            if (!it->is_fresh(now))
+                stale.push_back(it);
+        }
+    }
+    for (auto& it : stale)
+        it->close();
+}
+
+} // namespace azureyoke::transport
--- /dev/null
+++ b/azureyoke/src/transport/front_server.cpp
@@ -0,0 +1,172 @@
+#include "azureyoke/src/transport/front_server.h"
+
+#include <array>
+#include <charconv>
+
+#include "azureyoke/src/transport/front_connection.h"
+
+namespace azureyoke::transport {
+
+namespace internal {
+namespace {
+
+/// How often the connections' limits of time are checked.
+constexpr duration sweep_period = std::chrono::milliseconds(500);
+
+const char* reason_of(int status) {
+    switch (status) {
+    case 200:
+        return "OK";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 429:
+        return "Too Many Requests";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+std::string render_head(int status, const http_fields& fields, bool close) {
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " " + reason_of(status) + "\r\n";
+    for (const auto& it : fields) {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+    if (close)
+        out += "Connection: close\r\n";
+    return out;
+}
+
+bool has_no_body(int status) {
+    return status == 204 || status == 304;
+}
+
+std::string chunk_size(std::size_t n) {
+    std::array<char, 20> text{};
+    auto end = std::to_chars(text.data(), text.data() + text.size(), n, 16).ptr;
+    return {text.data(), end};
+}
+
+} // namespace
+} // namespace internal
+
+front_exchange::front_exchange(front_connection& connection, http_head head, std::string body,
+                               instant received)
+    : connection_(&connection), head_(std::move(head)), body_(std::move(body)),
+      received_(received) {}
+
+front_connection* front_exchange::release() {
+    on_closed_ = nullptr;
+    on_drained_ = nullptr;
+    return std::exchange(connection_, nullptr);
+}
+
+void front_exchange::reply(const http_response& answer) {
+    if (over())
+        return;
+    started_ = true;
+    auto out = internal::render_head(answer.status, answer.fields,
+                                     connection_->closes_after_answer());
+    if (!internal::has_no_body(answer.status))
+        out += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    out += "\r\n";
+    if (head_.method != "HEAD")
+        out += answer.body;
+    connection_->write(out);
+    release()->answer_ended();
+}
+
+void front_exchange::start(int status, const http_fields& fields,
+                           std::optional<std::uint64_t> length) {
+    if (over())
+        return;
+    started_ = true;
+    auto out = internal::render_head(status, fields, connection_->closes_after_answer());
+    chunked_ = !length && !internal::has_no_body(status);
+    if (chunked_)
+        out += "Transfer-Encoding: chunked\r\n";
+    else if (length)
+        out += "Content-Length: " + std::to_string(*length) + "\r\n";
+    out += "\r\n";
+    connection_->write(out);
+}
+
+void front_exchange::write(std::string_view piece) {
+    if (over() || piece.empty() || head_.method == "HEAD")
+        return;
+    if (!chunked_) {
+        connection_->write(piece);
+        return;
+    }
+    std::string out = internal::chunk_size(piece.size()) + "\r\n";
+    out.append(piece);
+    out += "\r\n";
+    connection_->write(out);
+}
+
+void front_exchange::end() {
+    if (over())
+        return;
+    if (chunked_ && head_.method != "HEAD")
+        connection_->write("0\r\n\r\n");
+    release()->answer_ended();
+}
+
+void front_exchange::abort() {
+    if (!over())
+        release()->close();
+}
+
+std::size_t front_exchange::unwritten() const {
+    return over() ? 0 : connection_->unwritten();
+}
+
+front_server::front_server(event_loop& loop, const front_limits& limits, handler on_request)
+    : loop_(loop), limits_(limits), on_request_(std::move(on_request)),
+      listener_(loop, [this](int fd) { accept(fd); }) {}
+
+front_server::~front_server() {
+    auto all = std::exchange(connections_, {});
+    for (auto& [raw, it] : all)
+        it->close();
+}
+
+result<address> front_server::listen(const address& at) {
+    sweep_timer_ = loop_.every(internal::sweep_period, [this] { sweep(); });
+    return listener_.listen(at);
+}
+
+void front_server::accept(int fd) {
+    auto made = std::make_shared<front_connection>(*this, fd);
+    connections_.emplace(made.get(), made);
+}
+
+void front_server::sweep() {
+    auto now = loop_.now();
+    auto all = connections_; // a check may drop its connection
+    for (auto& [raw, it] : all)
+        it->check_time(now);
+}
+
+void front_server::drop(front_connection* connection) {
+    connections_.erase(connection);
+}
+
+std::size_t front_server::busy_connections() const {
+    std::size_t n = 0;
+    for (const auto& [raw, it] : connections_)
+        n += it->busy() ? 1 : 0;
+    return n;
+}
+
+} // namespace azureyoke::transport
