Placement from peers' reports; weights changed under running work, three servers at a time

Instances now tell each other what waits at each server, which prompts it was sent and when its weights are in place; orders use keep.

--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -52,6 +52,7 @@
         {event_id::replica_draining, "replica_draining"},
         {event_id::order_sent, "order_sent"},
         {event_id::order_refused, "order_refused"},
+        {event_id::weights_in_place, "weights_in_place"},
         {event_id::memory_recalled, "memory_recalled"},
     };
     return list;
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -45,6 +45,7 @@
     replica_draining = 8002,
     order_sent = 8003,
     order_refused = 8004,
+    weights_in_place = 8005,
     memory_recalled = 9001
 };
 
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -10,7 +10,7 @@
 namespace internal {
 namespace {
 
-constexpr int lines_per_second = 20; ///< Of each kind of event.
+constexpr int lines_per_second = 200; ///< Of each kind of event.
 constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
 /// A policy that peers have is waited for from the registry first.
 constexpr transport::duration policy_patience = std::chrono::milliseconds(150);
@@ -97,7 +97,8 @@
     auto& known = state_.weights[model];
     if (version <= known.version)
         return;
-    known = {version, loop_.now()};
+    known.version = version;
+    known.since.emplace(version, loop_.now());
     log_.write(event_id::weights_named, {{"model", model}, {"weights", std::to_string(version)}});
 }
 
@@ -158,6 +159,9 @@
     for (const auto& [model, it] : state_.weights)
         made.named_weights[model] = it.version;
     made.notices = weights_.notices();
+    made.work = state_.router.own_work();
+    made.placed = state_.router.take_placed();
+    state_.router.on_told();
     return made;
 }
 
@@ -173,10 +177,13 @@
         on_named_weights(model, version);
     for (const auto& it : report.notices) {
         if (it.changing)
-            state_.router.on_change_announced(it.server, now);
+            state_.router.on_change_announced(it.server, it.model, it.version, now);
         else
             state_.router.on_weights(it.server, it.model, it.version);
     }
+    state_.router.on_peer_work(report.instance, report.work, now);
+    for (const auto& it : report.placed)
+        state_.router.on_peer_placed(it, now);
     auto own = state_.policy.policy ? state_.policy.policy->version() : 0;
     if (report.policy_version > own && policy_timer_ == nullptr)
         policy_timer_ = loop_.after(internal::policy_patience, [this] { fetch_policy(); });
@@ -213,12 +220,12 @@
         state_.set_members(members.all, members.silent, now);
     bool heard_of = registry_reachable_ || now - peer_reached_at_ < internal::registry_patience;
     state_.policy_may_be_old = !heard_of && now - registry_lost_ >= internal::registry_patience;
-    for (const auto& [name, it] : state_.limits) {
-        if (it.report_due()) {
-            peers_.send_now();
-            return;
-        }
-    }
+    state_.router.expire_peers(now);
+    bool due = state_.router.news_for_peers();
+    for (const auto& [name, it] : state_.limits)
+        due = due || it.report_due();
+    if (due)
+        peers_.send_now();
 }
 
 bool forward_instance::ready() const {
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "azureyoke/src/coordination/time.h"
 #include "azureyoke/src/state/traffic_policy.h"
 
 namespace azureyoke::app {
@@ -18,12 +19,16 @@
 constexpr std::int64_t longest_request_ms = 600'000;
 /// With less time left a request is not sent again: its answer would come too late.
 constexpr double least_time_to_send_ms = 15;
+/// Sends that did not run may come on top of those that a route allows.
+constexpr int most_unrun_sends = 2;
 /// Answers up to this size are collected, so that a broken one can be asked for again.
 constexpr std::uint64_t most_held_bytes = 64 * 1024;
 /// Bytes that may wait for a slow caller before reading from the server stops.
 constexpr std::size_t most_unwritten_bytes = 256 * 1024;
-/// Share of the time limit for new weights after which servers with older ones are not used.
-constexpr double old_weights_share = 0.7;
+/// Answers made on older weights count in full for this long after new ones are named.
+constexpr coordination::duration new_weights_grace = std::chrono::milliseconds(1200);
+/// Percent of the time limit for new weights after which servers with older ones are not used.
+constexpr std::int64_t old_weights_percent = 65;
 /// Callers give a stream up that begins later than this many times its target, or two seconds.
 constexpr double abandoned_targets = 4;
 constexpr double least_patience_ms = 2000;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -99,9 +99,9 @@
 bool forward_session::place() {
     auto now = services_.loop.now();
     if (const auto* wanted = services_.state.wanted(intent_.model)) {
-        auto limit = std::chrono::milliseconds(services_.settings.weights_limit_ms);
-        question_.newest_weights = wanted->version;
-        question_.newest_only = now - wanted->since >= limit * old_weights_share;
+        transport::duration limit = std::chrono::milliseconds(services_.settings.weights_limit_ms);
+        question_.newest_weights = wanted->known_for(new_weights_grace, now);
+        question_.oldest_weights = wanted->known_for(limit, now);
     }
     choice_ = services_.state.router.choose(services_.state.directory, question_, now);
     if (!choice_ && !question_.excluded.empty()) {
@@ -137,13 +137,32 @@
     made.server = choice_->server;
     made.workspace = workspace_ == nullptr ? "" : workspace_->name;
     made.deadline_ms = std::max<std::int64_t>(1, static_cast<std::int64_t>(ms_left()));
-    made.cache_wall = question_.cache_wall;
+    if (choice_->weights > 0) {
+        // Parts are told apart by the weights that made them, also in other servers' memory.
+        made.weights = choice_->weights;
+        made.cache_wall = question_.cache_wall + "#" + std::to_string(choice_->weights);
+        made.cache_holder = cache_source();
+        made.cache_keeper = choice_->save ? kept_cache() : std::string();
+    }
     made.last_event = relay_.last_id().empty() ? intent_.last_event : relay_.last_id();
-    if (question_.newest_only)
-        made.weights = question_.newest_weights;
     return made;
 }
 
+std::string forward_session::kept_cache() const {
+    for (const auto& it : policy_->pools()) {
+        if (!it.kept_cache_address.empty())
+            return it.kept_cache_address;
+    }
+    return {};
+}
+
+std::string forward_session::cache_source() const {
+    if (!choice_->fetch)
+        return {};
+    const auto* holder = services_.state.directory.find(choice_->cache_holder);
+    return holder == nullptr ? kept_cache() : holder->address;
+}
+
 void forward_session::send() {
     const auto* server = services_.state.directory.find(choice_->server);
     auto to = transport::parse_address(server == nullptr ? "" : server->address);
@@ -165,6 +184,8 @@
     use_ = answer_use::pass;
     held_ = {};
     last_server_ = choice_->server;
+    last_estimate_ms_ = choice_->first_answer_ms;
+    last_new_tokens_ = choice_->new_tokens;
     services_.state.router.on_sent(question_, *choice_, sent_at_);
     call_ = services_.backends.send(*to, request, true, shared_from_this());
 }
@@ -218,6 +239,7 @@
     first_answer_seen_ = true;
     auto now = services_.loop.now();
     services_.state.router.on_first_answer(*choice_, now - sent_at_, now);
+    first_answer_ms_ = coordination::to_seconds(now - sent_at_) * 1000;
     services_.measures.observe(measure::first_token, "pool", pool_,
                                coordination::to_seconds(now - exchange_->received()));
 }
@@ -302,7 +324,7 @@
 void forward_session::on_failure(const transport::error& ec) {
     if (ended_)
         return;
-    settle(call_end::broken);
+    settle(ec.bytes_left ? call_end::broken : call_end::unreached);
     if (ec.bytes_left)
         may_have_run_ = true;
     else
@@ -318,7 +340,7 @@
     bool safe = exchange_->started() ? goes_on : !may_have_run_ || repeats;
     auto& state = services_.state;
     return safe && !exchange_->over() && runs_ < route_->most_attempts &&
-           sends_ <= route_->most_attempts && ms_left() > least_time_to_send_ms &&
+           sends_ < route_->most_attempts + most_unrun_sends && ms_left() > least_time_to_send_ms &&
            state.retries(pool_).take(state.instances, services_.loop.now());
 }
 
@@ -406,6 +428,9 @@
                               {"detail", detail},
                               {"backend_server", last_server_},
                               {"sends", std::to_string(sends_)},
+                              {"new_tokens", std::to_string(last_new_tokens_)},
+                              {"estimate_ms", std::to_string(std::lround(last_estimate_ms_))},
+                              {"first_answer_ms", std::to_string(std::lround(first_answer_ms_))},
                               {"policy", std::to_string(policy_ ? policy_->version() : 0)},
                               {"left_out", std::to_string(left_out)}});
 }
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -42,6 +42,10 @@
     bool place();
     void send();
     forward_directive directive() const;
+    /// Address of the store that keeps caches; empty when there is none.
+    std::string kept_cache() const;
+    /// Where the chosen server may fetch cached parts that it lacks.
+    std::string cache_source() const;
     void start_answer(const transport::http_head& head);
     void note_first_answer();
     void pass_on(std::string_view bytes);
@@ -75,6 +79,9 @@
     transport::http_response held_;
     coordination::event_relay relay_;
     std::string last_server_;
+    std::int64_t last_new_tokens_ = 0; ///< Of the last send, as is the estimate.
+    double last_estimate_ms_ = 0;
+    double first_answer_ms_ = 0;
     int sends_ = 0;
     int runs_ = 0; ///< Sends that may have run.
     bool first_answer_seen_ = false;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -18,10 +18,18 @@
 
 namespace azureyoke::app {
 
-/// \brief Weights that operators want for a model, and when this instance learned of them.
+/// \brief Weights that operators want for a model.
 struct named_weights {
-    std::int64_t version = 0;
-    transport::instant since;
+    std::int64_t version = 0; ///< The newest.
+    std::map<std::int64_t, transport::instant> since; ///< When each one became known here.
+
+    /// \returns the newest version that was known for `age`; 0 when none was.
+    std::int64_t known_for(transport::duration age, transport::instant now) const {
+        std::int64_t found = 0;
+        for (const auto& [number, at] : since)
+            found = now - at >= age ? number : found;
+        return found;
+    }
 
     friend bool operator==(const named_weights&, const named_weights&) = default;
 };
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -169,6 +169,15 @@
     return names;
 }
 
+std::vector<std::string> peer_board::able(transport::instant now) const {
+    auto names = live(now);
+    std::erase_if(names, [&](const auto& name) {
+        auto found = peers_.find(name);
+        return found != peers_.end() && !found->second.last.reaches_registry;
+    });
+    return names;
+}
+
 bool peer_board::lease_holder_heard(transport::instant now) const {
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
         return it.second.last.holds_lease && now - it.second.heard <= internal::silence;
--- a/azureyoke/src/app/peer_board.h
+++ b/azureyoke/src/app/peer_board.h
@@ -42,6 +42,8 @@
     members count(transport::instant now) const;
     /// \brief Names of instances that were heard lately and are not leaving, own included, sorted.
     std::vector<std::string> live(transport::instant now) const;
+    /// \brief Those of `live` that reach the registry; this instance always counts.
+    std::vector<std::string> able(transport::instant now) const;
     bool lease_holder_heard(transport::instant now) const;
     bool any_heard(transport::instant now) const;
     /// \brief Operator addresses from which a newer policy than `version` can be read.
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -11,10 +11,17 @@
     auto notices = json::array();
     for (const auto& it : report.notices)
         notices.push_back({it.server, it.model, it.version, it.changing});
+    auto work = json::object();
+    for (const auto& [server, it] : report.work)
+        work[server] = {it.in_flight, it.unread_tokens};
+    auto placed = json::array();
+    for (const auto& it : report.placed)
+        placed.push_back({it.server, it.links});
     json body = {report.instance,      report.incarnation,   report.peers,
                  report.operators,     report.leaving,       report.holds_lease,
                  report.policy_version, report.spent,        report.named_weights,
-                 notices,              report.reaches_registry};
+                 notices,              report.reaches_registry, work,
+                 placed};
     std::string bytes;
     json::to_cbor(body, bytes);
     return bytes;
@@ -22,7 +29,7 @@
 
 std::optional<peer_report> parse_peer_report(std::string_view bytes) {
     auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!body.is_array() || body.size() != 11)
+    if (!body.is_array() || body.size() != 13)
         return std::nullopt;
     try {
         peer_report made;
@@ -39,6 +46,11 @@
             made.notices.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
                                     it.at(2).get<std::int64_t>(), it.at(3).get<bool>()});
         made.reaches_registry = body[10].get<bool>();
+        for (const auto& [server, it] : body[11].items())
+            made.work[server] = {it.at(0).get<int>(), it.at(1).get<std::int64_t>()};
+        for (const auto& it : body[12])
+            made.placed.push_back({it.at(0).get<std::string>(),
+                                   it.at(1).get<std::vector<std::uint64_t>>()});
         return made;
     } catch (const json::exception&) {
         return std::nullopt; // a field of another type: the sender is no instance of ours
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "azureyoke/src/coordination/fleet_router.h"
+
 namespace azureyoke::app {
 
 /// \brief A server whose weights were seen or are being changed.
@@ -32,6 +34,8 @@
     std::map<std::string, double> spent; ///< Of each workspace's limit, since its start.
     std::map<std::string, std::int64_t> named_weights;
     std::vector<weights_notice> notices;
+    std::map<std::string, coordination::server_work> work; ///< Of the sender, by server.
+    std::vector<coordination::placed_prompt> placed;       ///< Since its last report.
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -13,13 +13,16 @@
 /// An instance leaves the lease to those before it in order for this long each.
 constexpr transport::duration turn = std::chrono::milliseconds(600);
 constexpr transport::duration notice_life = std::chrono::seconds(2);
+/// So many instances follow the lease, so that one of them can take it over without delay.
+constexpr std::ptrdiff_t watchers = 2;
 constexpr const char* lease_record = "lease/weights";
 
 coordination::lease_settings lease_settings_for_orders() {
     coordination::lease_settings made;
-    made.lapse = std::chrono::milliseconds(1800);
-    made.margin = std::chrono::milliseconds(200);
-    made.period = std::chrono::milliseconds(500);
+    made.lapse = std::chrono::milliseconds(1200);
+    made.margin = std::chrono::milliseconds(100);
+    made.period = std::chrono::milliseconds(400);
+    made.watch_period = std::chrono::milliseconds(1500);
     // Servers that check no fences must not see two holders within three seconds.
     made.longest_effect = std::chrono::milliseconds(3000);
     made.answer_timeout = std::chrono::milliseconds(1200);
@@ -55,7 +58,7 @@
             if (wanted == nullptr)
                 continue;
             list.push_back({id, model, state_.router.weights_of(state_.directory, id, model),
-                            wanted->version, it.orders, state_.router.in_flight(id)});
+                            wanted->version, state_.router.in_flight(id)});
         }
     }
     return list;
@@ -68,13 +71,17 @@
         return true;
     if (peers_.lease_holder_heard(now))
         return false;
-    auto live = peers_.live(now);
-    auto place = std::find(live.begin(), live.end(), settings_.instance) - live.begin();
-    return now - work_since_ >= internal::turn * place;
+    return now - work_since_ >= internal::turn * place(now);
+}
+
+std::ptrdiff_t weights_service::place(transport::instant now) const {
+    auto able = peers_.able(now);
+    return std::find(able.begin(), able.end(), settings_.instance) - able.begin();
 }
 
 void weights_service::tick() {
     auto now = loop_.now();
+    tell_completed();
     auto list = servers();
     bool work = !stopping_ && std::any_of(list.begin(), list.end(), [](const auto& it) {
         return it.weights < it.wanted;
@@ -84,6 +91,7 @@
     else if (work_since_ == transport::instant())
         work_since_ = now;
     lease_.want(work && my_turn(now));
+    lease_.watch(!stopping_ && place(now) < internal::watchers);
     for (const auto& it : lease_.tick(transport::boot_now()))
         run(it);
     bool holds = holds_lease();
@@ -130,10 +138,26 @@
                    });
 }
 
+// The peers learn at once which servers take new work again, however this instance learned it.
+void weights_service::tell_completed() {
+    std::vector<weights_notice> completed;
+    for (const auto& it : told_) {
+        auto weights = state_.router.weights_of(state_.directory, it.what.server, it.what.model);
+        if (it.what.changing && weights >= it.what.version)
+            completed.push_back({it.what.server, it.what.model, weights, false});
+    }
+    for (const auto& it : completed) {
+        tell(it);
+        log_.write(event_id::weights_in_place, {{"backend_server", it.server},
+                                                {"weights", std::to_string(it.version)}});
+    }
+}
+
 void weights_service::tell(const weights_notice& notice) {
     auto now = loop_.now();
     std::erase_if(told_, [&](const auto& it) {
-        return it.what.server == notice.server || now - it.at > internal::notice_life;
+        return it.what.server == notice.server ||
+               (!it.what.changing && now - it.at > internal::notice_life);
     });
     told_.push_back({notice, now});
     peers_.send_now();
@@ -143,7 +167,7 @@
     std::vector<weights_notice> list;
     auto now = loop_.now();
     for (const auto& it : told_) {
-        if (now - it.at <= internal::notice_life)
+        if (it.what.changing || now - it.at <= internal::notice_life)
             list.push_back(it.what);
     }
     return list;
@@ -153,7 +177,7 @@
     const auto* server = state_.directory.find(action.server);
     if (server == nullptr)
         return;
-    state_.router.on_change_announced(action.server, loop_.now());
+    state_.router.on_change_announced(action.server, action.model, action.weights, loop_.now());
     tell({action.server, action.model, action.weights, true});
     log_.write(event_id::order_sent, {{"backend_server", action.server},
                                       {"weights", std::to_string(action.weights)},
@@ -173,14 +197,12 @@
     orders_.look(*server, [this, action](std::optional<server_look> seen) {
         if (!seen)
             return;
-        rollout_.on_look(action.server, seen->orders, seen->busy);
+        rollout_.on_look(action.server, seen->orders, seen->busy, loop_.now());
         auto found = seen->weights.find(action.model);
         if (found == seen->weights.end())
             return;
-        if (found->second >= action.weights && !seen->busy) {
+        if (!seen->busy)
             state_.router.on_weights(action.server, action.model, found->second);
-            tell({action.server, action.model, found->second, false});
-        }
     });
 }
 
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -27,12 +27,12 @@
 
 fleet_router::fleet_router(const fleet_router_settings& settings) : settings_(settings) {}
 
-// Hashes of the prompt's shared prefixes; the own part at the end is never shared.
-std::vector<std::uint64_t> fleet_router::chain_of(const placement_question& question) const {
+// The own part at the end is never shared.
+std::vector<std::uint64_t> fleet_router::chain_of(const placement_question& question,
+                                                  std::int64_t weights) {
     std::vector<std::uint64_t> chain;
-    if (question.parts.size() < 2)
-        return chain;
-    auto link = internal::hash_of(question.model, internal::hash_of(question.cache_wall, 0));
+    auto link = internal::hash_of(question.model, static_cast<std::uint64_t>(weights));
+    link = internal::hash_of(question.cache_wall, link);
     for (std::size_t i = 0; i + 1 < question.parts.size(); ++i) {
         link = internal::hash_of(question.parts[i].id, link);
         chain.push_back(link);
@@ -45,15 +45,14 @@
     return found != cached_.end() && now - found->second < settings_.cache_life;
 }
 
-std::int64_t fleet_router::tokens_to_read(const std::string& server,
-                                          const placement_question& question,
-                                          const std::vector<std::uint64_t>& chain, bool home,
-                                          instant now) const {
+std::int64_t fleet_router::shared_tokens_to_read(const candidate& it,
+                                                 const placement_question& question,
+                                                 instant now) const {
+    auto chain = chain_of(question, it.weights);
     std::int64_t tokens = 0;
-    bool cached = true;
-    for (std::size_t i = 0; i < question.parts.size(); ++i) {
-        cached = cached && i < chain.size() && (home || keeps(server, chain[i], now));
-        tokens += cached ? 0 : question.parts[i].tokens;
+    for (std::size_t i = 0; i < chain.size(); ++i) {
+        if (tokens > 0 || !keeps(it.server->id, chain[i], now))
+            tokens += question.parts[i].tokens;
     }
     return tokens;
 }
@@ -75,107 +74,187 @@
     return version;
 }
 
-fleet_router::scored fleet_router::score(const fleet_directory& directory,
-                                         const state::fleet_server& server,
-                                         const placement_question& question,
-                                         const std::vector<std::uint64_t>& chain, bool home,
-                                         instant now) {
-    const auto& view = views_[server.id];
-    scored made;
-    made.server = &server;
-    made.new_tokens = tokens_to_read(server.id, question, chain, home, now);
+std::vector<fleet_router::candidate> fleet_router::candidates(const fleet_directory& directory,
+                                                              const placement_question& question,
+                                                              instant now) {
+    auto chain = chain_of(question, 0);
+    auto affinity = chain.empty() ? static_cast<std::uint64_t>(question.number) : chain.back();
+    std::vector<candidate> list;
+    for (const auto* it : directory.usable(question.pool)) {
+        if (std::find(question.excluded.begin(), question.excluded.end(), it->id) !=
+            question.excluded.end())
+            continue;
+        const auto& view = views_[it->id];
+        candidate made;
+        made.server = it;
+        made.weights = question.model.empty() ? 0 : weights_of(directory, it->id, question.model);
+        if (made.weights < question.oldest_weights)
+            continue;
+        made.rank = internal::hash_of(it->id, affinity);
+        made.usable_from = std::max(view.suspended_until, view.changing_until);
+        made.usable = made.usable_from <= now;
+        list.push_back(made);
+    }
+    return list;
+}
+
+void fleet_router::weigh(candidate& it, const placement_question& question, instant now) {
+    const auto& view = views_[it.server->id];
+    auto shared = shared_tokens_to_read(it, question, now);
+    it.keeps = shared == 0;
+    auto own = question.parts.empty() ? 0 : question.parts.back().tokens;
+    it.new_tokens = shared + own;
     bool believed = now - view.reported_at < settings_.report_life;
-    int running = std::max(view.in_flight, believed ? view.running : 0);
+    int sent = view.own.in_flight + view.peers.in_flight;
+    int running = std::max(sent, believed ? view.running : 0);
     int waiting = believed ? view.waiting : 0;
-    waiting += std::max(0, running - std::max(1, server.slots));
-    double ms = static_cast<double>(made.new_tokens + view.unread_tokens) / settings_.tokens_per_ms;
-    ms += running * settings_.running_ms + waiting * settings_.waiting_ms;
-    ms = std::max(ms, internal::least_estimate_ms) * view.slowness;
-    made.cost = ms;
-    if (server.data_centre != settings_.data_centre)
-        made.cost += settings_.other_data_centre_ms;
+    waiting += std::max(0, running - std::max(1, it.server->slots));
+    auto unread = it.new_tokens + view.own.unread_tokens + view.peers.unread_tokens;
+    double ms = static_cast<double>(unread) / settings_.tokens_per_ms +
+                running * settings_.running_ms + waiting * settings_.waiting_ms;
+    it.estimate_ms = std::max(ms, internal::least_estimate_ms) * view.slowness;
+    it.cost = it.estimate_ms;
+    it.cost += static_cast<double>(shared) / settings_.tokens_per_ms * settings_.reread_weight;
+    if (it.server->data_centre != settings_.data_centre)
+        it.cost += settings_.other_data_centre_ms;
     double errors = std::max(0.0, view.error_share - internal::plain_error_share);
-    made.cost *= 1 + errors * internal::most_slowness;
-    if (!question.model.empty() && question.newest_weights > 0 &&
-        weights_of(directory, server.id, question.model) < question.newest_weights) {
-        made.cost += settings_.old_weights_ms;
-        made.usable = !question.newest_only;
-    }
-    made.usable_from = std::max(view.suspended_until, view.changing_until);
-    made.usable = made.usable && made.usable_from <= now;
-    return made;
+    it.cost *= 1 + errors * internal::most_slowness;
+    if (it.weights < question.newest_weights)
+        it.cost += settings_.old_weights_ms;
 }
 
-std::string fleet_router::holder_of(const std::vector<const state::fleet_server*>& list,
-                                    const std::vector<std::uint64_t>& chain,
-                                    const std::string& except, instant now) const {
-    for (const auto* it : list) {
-        if (it->id != except && !chain.empty() && keeps(it->id, chain.back(), now))
-            return it->id;
+// Where the chosen server can get shared parts that it lacks: from a server that was sent them, or,
+// while none is known, from where they were saved.
+void fleet_router::find_cache_source(fleet_choice& choice, const std::vector<candidate>& list,
+                                     const placement_question& question, instant now) {
+    auto chain = chain_of(question, choice.weights);
+    if (chain.empty() || choice.weights == 0)
+        return;
+    auto last = chain.back();
+    choice.fetch = !keeps(choice.server, last, now);
+    auto saved = saved_.find(last);
+    choice.save = saved == saved_.end() || now - saved->second >= settings_.saved_life;
+    if (!choice.fetch)
+        return;
+    for (const auto& it : list) {
+        if (it.keeps && it.server->id != choice.server && it.weights == choice.weights &&
+            it.usable)
+            choice.cache_holder = it.server->id;
     }
-    return {};
+}
+
+// What the reading of the shared parts counts against every server that lacks them.
+double fleet_router::home_bonus(const placement_question& question) const {
+    std::int64_t shared = 0;
+    for (std::size_t i = 0; i + 1 < question.parts.size(); ++i)
+        shared += question.parts[i].tokens;
+    return static_cast<double>(shared) / settings_.tokens_per_ms * settings_.reread_weight;
 }
 
 std::optional<fleet_choice> fleet_router::choose(const fleet_directory& directory,
                                                  const placement_question& question, instant now) {
-    auto list = directory.usable(question.pool);
-    auto chain = chain_of(question);
-    auto affinity = chain.empty() ? static_cast<std::uint64_t>(question.number) : chain.back();
-    const state::fleet_server* home = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto* it : list) {
-        auto rank = internal::hash_of(it->id, affinity);
-        if (home == nullptr || rank > highest) {
-            home = it;
-            highest = rank;
-        }
-    }
-    std::optional<scored> best;
-    for (const auto* it : list) {
-        bool excluded = std::find(question.excluded.begin(), question.excluded.end(), it->id) !=
-                        question.excluded.end();
-        if (excluded)
-            continue;
-        auto made = score(directory, *it, question, chain, it == home, now);
-        bool better = !best || (made.usable && !best->usable) ||
-                      (made.usable == best->usable &&
-                       (made.usable ? made.cost < best->cost
-                                    : made.usable_from < best->usable_from));
-        if (better)
-            best = made;
-    }
-    if (!best)
+    auto list = candidates(directory, question, now);
+    if (list.empty())
         return std::nullopt;
-    if (question.newest_only && !best->usable &&
-        weights_of(directory, best->server->id, question.model) < question.newest_weights)
-        return std::nullopt;
-    fleet_choice made{best->server->id, best->new_tokens, best->cost, {}};
-    auto own = question.parts.empty() ? 0 : question.parts.back().tokens;
-    if (made.new_tokens > own || !keeps(made.server, chain.empty() ? 0 : chain.back(), now))
-        made.cache_holder = holder_of(list, chain, made.server, now);
+    auto by_home = [](const candidate& a, const candidate& b) {
+        return std::pair(a.usable, a.rank) < std::pair(b.usable, b.rank);
+    };
+    for (auto& it : list)
+        weigh(it, question, now);
+    bool known = std::any_of(list.begin(), list.end(),
+                             [](const auto& it) { return it.keeps && it.usable; });
+    if (!known) {
+        auto& home = *std::max_element(list.begin(), list.end(), by_home);
+        home.cost = home.cost - home_bonus(question);
+    }
+    auto better = [](const candidate& a, const candidate& b) {
+        if (a.usable != b.usable)
+            return a.usable;
+        return a.usable ? a.cost < b.cost : a.usable_from < b.usable_from;
+    };
+    const auto& best = *std::min_element(list.begin(), list.end(), better);
+    fleet_choice made;
+    made.server = best.server->id;
+    made.new_tokens = best.new_tokens;
+    made.first_answer_ms = best.estimate_ms;
+    made.weights = best.weights;
+    find_cache_source(made, list, question, now);
     return made;
 }
 
 void fleet_router::on_sent(const placement_question& question, const fleet_choice& choice,
                            instant now) {
     auto& view = views_[choice.server];
-    ++view.in_flight;
-    view.unread_tokens += choice.new_tokens;
-    for (auto link : chain_of(question))
+    ++view.own.in_flight;
+    view.own.unread_tokens += choice.new_tokens;
+    news_ = true;
+    auto chain = chain_of(question, choice.weights);
+    for (auto link : chain)
         cached_[internal::hash_of(choice.server, link)] = now;
-    if (cached_.size() > settings_.most_cache_entries)
-        trim_caches(now);
+    if (!chain.empty())
+        placed_.push_back({choice.server, chain});
+    if (choice.save && !chain.empty())
+        saved_[chain.back()] = now;
+    trim(cached_, settings_.cache_life, now);
+    trim(saved_, settings_.saved_life, now);
+}
+
+std::map<std::string, server_work> fleet_router::own_work() const {
+    std::map<std::string, server_work> work;
+    for (const auto& [id, it] : views_) {
+        if (it.own != server_work())
+            work.emplace(id, it.own);
+    }
+    return work;
+}
+
+void fleet_router::add_peer_work(const peer_view& view, int sign) {
+    for (const auto& [id, work] : view.work) {
+        auto& sum = views_[id].peers;
+        sum.in_flight += sign * work.in_flight;
+        sum.unread_tokens += sign * work.unread_tokens;
+    }
+}
+
+void fleet_router::on_peer_work(const std::string& peer,
+                                const std::map<std::string, server_work>& work, instant now) {
+    auto& view = peers_[peer];
+    add_peer_work(view, -1);
+    view = {work, now};
+    add_peer_work(view, 1);
+}
+
+void fleet_router::on_peer_placed(const placed_prompt& placed, instant now) {
+    for (auto link : placed.links)
+        cached_[internal::hash_of(placed.server, link)] = now;
+    trim(cached_, settings_.cache_life, now);
+}
+
+void fleet_router::expire_peers(instant now) {
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        if (now - it->second.heard <= settings_.peer_silence) {
+            ++it;
+            continue;
+        }
+        add_peer_work(it->second, -1);
+        it = peers_.erase(it);
+    }
 }
 
-void fleet_router::trim_caches(instant now) {
-    std::erase_if(cached_, [&](const auto& it) { return now - it.second >= settings_.cache_life; });
-    if (cached_.size() > settings_.most_cache_entries)
-        cached_.clear();
+void fleet_router::trim(std::unordered_map<std::uint64_t, instant>& entries, duration life,
+                        instant now) const {
+    if (entries.size() <= settings_.most_cache_entries)
+        return;
+    std::erase_if(entries, [&](const auto& it) { return now - it.second >= life; });
+    if (entries.size() > settings_.most_cache_entries)
+        entries.clear();
 }
 
 void fleet_router::on_first_answer(const fleet_choice& choice, duration took, instant /*now*/) {
     auto& view = views_[choice.server];
-    view.unread_tokens = std::max<std::int64_t>(0, view.unread_tokens - choice.new_tokens);
+    view.own.unread_tokens =
+        std::max<std::int64_t>(0, view.own.unread_tokens - choice.new_tokens);
+    news_ = true;
     double expected = std::max(choice.first_answer_ms / view.slowness, internal::least_estimate_ms);
     double ratio = to_seconds(took) * 1000 / expected;
     ratio = std::clamp(ratio, internal::least_slowness, internal::most_slowness);
@@ -191,9 +270,9 @@
 
 void fleet_router::on_end(const fleet_choice& choice, call_end how, instant now) {
     auto& view = views_[choice.server];
-    view.in_flight = std::max(0, view.in_flight - 1);
-    if (view.in_flight == 0)
-        view.unread_tokens = 0;
+    view.own.in_flight = std::max(0, view.own.in_flight - 1);
+    if (view.own.in_flight == 0)
+        view.own.unread_tokens = 0;
     bool failed = how == call_end::error || how == call_end::broken;
     if (how == call_end::answered || failed)
         view.error_share += internal::learning_rate * ((failed ? 1 : 0) - view.error_share);
@@ -206,8 +285,10 @@
     case call_end::shed:
         view.suspended_until = std::max(view.suspended_until, now + settings_.shed_pause);
         break;
+    case call_end::unreached:
     case call_end::broken:
-        if (++view.failures >= internal::failures_to_suspend) {
+        ++view.failures;
+        if (how == call_end::unreached || view.failures >= internal::failures_to_suspend) {
             view.suspension = std::clamp(view.suspension * 2, settings_.first_suspension,
                                          settings_.longest_suspension);
             view.suspended_until = now + view.suspension;
@@ -218,8 +299,11 @@
     }
 }
 
-void fleet_router::on_change_announced(const std::string& server, instant now) {
-    views_[server].changing_until = now + settings_.change_pause;
+void fleet_router::on_change_announced(const std::string& server, const std::string& model,
+                                       std::int64_t version, instant now) {
+    auto& view = views_[server];
+    if (view.weights[model] < version)
+        view.changing_until = now + settings_.change_pause;
 }
 
 void fleet_router::on_weights(const std::string& server, const std::string& model,
@@ -233,12 +317,18 @@
 }
 
 void fleet_router::forget(const std::string& server) {
-    views_.erase(server);
+    auto found = views_.find(server);
+    if (found == views_.end())
+        return;
+    server_view fresh;
+    fresh.own = found->second.own; // calls under way end later
+    fresh.peers = found->second.peers;
+    found->second = fresh;
 }
 
 int fleet_router::in_flight(const std::string& server) const {
     auto found = views_.find(server);
-    return found == views_.end() ? 0 : found->second.in_flight;
+    return found == views_.end() ? 0 : found->second.own.in_flight;
 }
 
 } // namespace azureyoke::coordination
--- a/azureyoke/src/coordination/table_lease.cpp
+++ b/azureyoke/src/coordination/table_lease.cpp
@@ -41,8 +41,14 @@
     if (busy_ && now - busy_since_ < settings_.answer_timeout)
         return {};
     bool holds = own_version_ != 0;
-    if (!wanted_)
-        return holds ? give_back(now) : std::vector<lease_action>();
+    if (!wanted_ && holds)
+        return give_back(now);
+    if (!wanted_) {
+        if (!watched_ || now - last_read_ < settings_.watch_period)
+            return {};
+        last_read_ = now;
+        return {start(lease_step::read_row, now)};
+    }
     if (now < next_)
         return {};
     next_ = now + settings_.period;
--- a/azureyoke/src/coordination/table_lease.h
+++ b/azureyoke/src/coordination/table_lease.h
@@ -18,6 +18,7 @@
     /// out, for the sake of servers that do not check fencing numbers.
     duration longest_effect = std::chrono::seconds(4);
     duration answer_timeout = std::chrono::seconds(5);
+    duration watch_period = std::chrono::seconds(5); ///< Between reads of one that only watches.
 
     friend bool operator==(const lease_settings&, const lease_settings&) = default;
 };
@@ -48,6 +49,10 @@
     /// \brief Whether this instance needs the lease. When it no longer does, it gives it back.
     void want(bool wanted) { wanted_ = wanted; }
 
+    /// \brief Whether to follow the row without wanting it, so that a holder that has ended is
+    /// known at once when the lease is wanted.
+    void watch(bool watched) { watched_ = watched; }
+
     std::vector<lease_action> tick(instant now);
     /// \brief The row as the table holds it; version 0 when it is absent. An answer that came
     /// after its timeout is ignored, here and below.
@@ -72,6 +77,8 @@
     std::string self_;
     std::uint64_t incarnation_;
     bool wanted_ = false;
+    bool watched_ = false;
+    instant last_read_;
     std::uint64_t last_number_ = 0;
     bool busy_ = false; ///< The read or write `last_number_` is under way.
     instant busy_since_;
--- a/azureyoke/src/coordination/weights_rollout.cpp
+++ b/azureyoke/src/coordination/weights_rollout.cpp
@@ -19,7 +19,9 @@
             behind.push_back(&it);
     }
     std::stable_sort(behind.begin(), behind.end(),
-                     [](const auto* a, const auto* b) { return a->load < b->load; });
+                     [](const auto* a, const auto* b) {
+                         return std::pair(a->weights, a->load) < std::pair(b->weights, b->load);
+                     });
     auto current = static_cast<std::size_t>(
         std::count_if(changes_.begin(), changes_.end(), [&](const auto& it) {
             return now - it.second.began < settings_.overdue;
@@ -46,10 +48,9 @@
             continue;
         changing.asked = true;
         changing.asked_at = now;
-        bool order = !changing.under_way;
-        auto orders = changing.orders < 0 ? it->orders : changing.orders;
+        bool order = !changing.under_way && changing.orders >= 0;
         actions.push_back({order ? weights_step::order : weights_step::look, it->id, it->model,
-                           it->wanted, orders});
+                           it->wanted, changing.orders});
     }
     return actions;
 }
@@ -61,6 +62,7 @@
     auto& changing = found->second;
     changing.asked = false;
     changing.next = now + settings_.look_period;
+    changing.orders = -1; // it may have counted this one
     switch (outcome) {
     case order_outcome::accepted:
     case order_outcome::in_place:
@@ -74,13 +76,14 @@
     }
 }
 
-void weights_rollout::on_look(const std::string& server, std::int64_t orders, bool busy) {
+void weights_rollout::on_look(const std::string& server, std::int64_t orders, bool busy, instant now) {
     auto found = changes_.find(server);
     if (found == changes_.end())
         return;
     auto& changing = found->second;
     changing.asked = false;
-    changing.orders = orders;
+    changing.orders = busy ? -1 : orders;
+    changing.next = now + (busy ? settings_.look_period : duration(0));
     // Weights that were named meanwhile need an order of their own.
     if (!busy)
         changing.under_way = false;
--- a/azureyoke/src/coordination/weights_rollout.h
+++ b/azureyoke/src/coordination/weights_rollout.h
@@ -10,8 +10,9 @@
 namespace azureyoke::coordination {
 
 struct weights_rollout_settings {
-    std::size_t most_changes = 4;                         ///< Servers that change at once.
-    duration look_period = std::chrono::milliseconds(250); ///< Between looks at a changing server.
+    /// Servers that change at once; more than two load the more slowly.
+    std::size_t most_changes = 3;
+    duration look_period = std::chrono::milliseconds(100); ///< Between looks at a changing server.
     duration again = std::chrono::milliseconds(700);      ///< Before an unanswered order is sent again.
     duration overdue = std::chrono::seconds(4); ///< A change that takes longer makes room for another.
 
@@ -25,8 +26,7 @@
     std::string model;
     std::int64_t weights = 0;
     std::int64_t wanted = 0;
-    std::int64_t orders = 0; ///< Orders that it has accepted, as last seen.
-    int load = 0;            ///< Requests in flight there; the least loaded change first.
+    int load = 0; ///< Requests in flight there; among equals the least loaded change first.
 
     friend bool operator==(const rollout_server&, const rollout_server&) = default;
 };
@@ -56,7 +56,7 @@
 
 /// \brief Decides which orders the holder of the lease gives so that servers take named weights.
 ///
-/// A few change at once, so that the others serve meanwhile; a server that has taken weights which
+/// A few change at once, those with the oldest weights first, so that the others serve meanwhile; a server that has taken weights which
 /// were named over since is ordered again. An order without an answer may still be carried out, so
 /// that each one holds only for the count of orders accepted before it. Pure. Not thread safe.
 class weights_rollout {
@@ -66,7 +66,7 @@
     std::vector<weights_action> tick(const std::vector<rollout_server>& servers, instant now);
     void on_order(const std::string& server, order_outcome outcome, instant now);
     /// \brief The server said what it has.
-    void on_look(const std::string& server, std::int64_t orders, bool busy);
+    void on_look(const std::string& server, std::int64_t orders, bool busy, instant now);
     /// \brief The lease was lost: another instance may order now.
     void clear() { changes_.clear(); }
 
--- a/azureyoke/src/state/fleet_server.h
+++ b/azureyoke/src/state/fleet_server.h
@@ -16,7 +16,6 @@
     bool leaving = false;
     int slots = 0;                              ///< Requests that it works on at once.
     std::int64_t cold_ms = 0;                   ///< How much longer it is slow after its start.
-    std::int64_t orders = 0;                    ///< Orders that it has accepted since its start.
     std::int64_t born_ms = 0;                   ///< Unix milliseconds of its start.
     std::map<std::string, std::int64_t> models; ///< Version of the weights of each model.
 
