--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -42,7 +42,7 @@
     : loop_(loop), settings_(std::move(settings)), world_(world),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
       lines_(internal::lines_per_second), backends_(loop, {}), state_(settings_),
-      services_{settings_, loop_, backends_, world_.dialect, state_, log_, lines_, metrics_},
+      services_{settings_, loop_, backends_, world_.dialect, state_, log_, lines_, metrics_, false},
       peers_(
           loop, settings_, world_.records, log_, [this] { return report(); },
           [this](const auto& it) { on_peer_report(it); }),
@@ -247,7 +247,12 @@
     auto waited = loop_.now() - drain_began_;
     auto limit = std::chrono::milliseconds(settings_.drain_limit_ms);
     auto busy = callers_.busy_connections();
-    if (waited < internal::drain_grace || (busy > 0 && waited < limit))
+    if (waited < internal::drain_grace)
+        return;
+    // From now on callers have other instances; what comes later might not end in time.
+    services_.refuse_all = true;
+    callers_.close_idle();
+    if (busy > 0 && waited < limit)
         return;
     auto keep = std::move(drain_timer_);
     peers_.leave();
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -26,6 +26,10 @@
         return;
     }
     intent_ = std::move(*intent);
+    if (services_.refuse_all) {
+        refuse(503, "this instance is about to end", least_retry_s);
+        return;
+    }
     policy_ = services_.state.policy.policy;
     if (!admit())
         return;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -70,6 +70,7 @@
     const event_log& log;
     line_budget& lines;
     metrics& measures;
+    bool refuse_all = false; ///< The instance is about to end.
 };
 
 } // namespace azureyoke::app
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -162,6 +162,14 @@
     connections_.erase(connection);
 }
 
+void front_server::close_idle() {
+    auto all = connections_; // closing drops a connection
+    for (auto& [raw, it] : all) {
+        if (!it->busy())
+            it->close();
+    }
+}
+
 std::size_t front_server::busy_connections() const {
     std::size_t n = 0;
     for (const auto& [raw, it] : connections_)
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -102,6 +102,9 @@
     /// \brief From now on each answer announces that its connection closes.
     void close_after_answers() { closing_ = true; }
 
+    /// \brief Closes connections on which no request is being read or answered.
+    void close_idle();
+
     std::size_t connections() const { return connections_.size(); }
 
     /// \brief Connections on which a request is being read or answered.
