--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -103,7 +103,8 @@
 bool forward_session::place() {
     auto now = services_.loop.now();
     if (const auto* wanted = services_.state.wanted(intent_.model)) {
-        transport::duration limit = std::chrono::milliseconds(services_.settings.weights_limit_ms);
+        transport::duration limit = std::chrono::milliseconds(
+            services_.settings.weights_limit_ms * old_weights_percent / 100);
         question_.newest_weights = wanted->known_for(new_weights_grace, now);
         question_.oldest_weights = wanted->known_for(limit, now);
     }
--- /dev/null
+++ b/test/fleet_limit_test.cpp
@@ -0,0 +1,150 @@
+#include "azureyoke/src/coordination/fleet_limit.h"
+
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace azureyoke;
+using coordination::duration;
+using coordination::fleet_limit;
+using coordination::instant;
+
+namespace {
+
+constexpr instant start{std::chrono::seconds(100)};
+constexpr double rate = 1000;
+constexpr double burst = 1000;
+constexpr duration second = std::chrono::seconds(1);
+
+/// Instances that spend as much as they may and report to each other, with or without a cut.
+class limit_world {
+public:
+    limit_world(int instances, unsigned seed) : random_(seed) {
+        for (int i = 0; i < instances; ++i)
+            limits_.emplace_back(coordination::fleet_limit_settings{}, rate, burst, start);
+        for (auto& it : limits_)
+            it.set_members(instances, 0, start);
+    }
+
+    /// \returns the most that was spent in any span of `window`.
+    double run(duration length, duration window, bool cut) {
+        constexpr duration step = std::chrono::milliseconds(20);
+        constexpr int steps_a_report = 5;
+        std::deque<std::pair<instant, double>> spent;
+        double in_window = 0;
+        double most = 0;
+        int n = 0;
+        for (auto now = start; now < start + length; now += step, ++n) {
+            bool is_cut = cut && now > start + 4 * second && now < start + 12 * second;
+            for (auto& it : limits_) {
+                double cost = 20 + static_cast<double>(random_() % 30);
+                while (it.take(cost, now)) {
+                    spent.emplace_back(now, cost);
+                    in_window += cost;
+                }
+            }
+            while (!spent.empty() && now - spent.front().first > window) {
+                in_window -= spent.front().second;
+                spent.pop_front();
+            }
+            most = std::max(most, in_window);
+            if (n % steps_a_report == 0)
+                report(now, is_cut);
+        }
+        return most;
+    }
+
+private:
+    void report(instant now, bool is_cut) {
+        auto n = static_cast<int>(limits_.size());
+        for (int to = 0; to < n; ++to) {
+            bool to_left = to < n / 2;
+            limits_[to].set_members(n, is_cut ? (to_left ? n - n / 2 : n / 2) : 0, now);
+            for (int from = 0; from < n; ++from) {
+                bool same_side = (from < n / 2) == to_left;
+                bool lost = random_() % 10 == 0;
+                if (from != to && !lost && (same_side || !is_cut))
+                    limits_[to].on_peer_spent(std::to_string(from), 1, limits_[from].spent(), now);
+            }
+        }
+    }
+
+    std::vector<fleet_limit> limits_;
+    std::mt19937 random_;
+};
+
+} // namespace
+
+Test(fleet_limit, bucket_of_a_fresh_instance_starts_empty_and_fills_at_the_rate) {
+    fleet_limit limit({}, rate, burst, start);
+    cr_assert_not(limit.take(1, start));
+    cr_assert(limit.take(500, start + second / 2));
+    cr_assert_not(limit.take(1, start + second / 2));
+    cr_assert_float_eq(limit.seconds_until(100, start + second / 2), 0.1, 1e-6);
+}
+
+Test(fleet_limit, request_larger_than_the_burst_passes_a_full_bucket_which_then_owes) {
+    fleet_limit limit({}, rate, burst, start);
+    cr_assert(limit.take(3000, start + 2 * second));
+    cr_assert_not(limit.take(1, start + 4 * second));
+    cr_assert(limit.take(1, start + 4 * second + second / 10));
+}
+
+Test(fleet_limit, spending_of_a_peer_is_taken_from_the_own_copy) {
+    fleet_limit limit({}, rate, burst, start);
+    auto now = start + 2 * second;
+    limit.on_peer_spent("b", 1, 100, now); // what it spent before is not known to be recent
+    limit.on_peer_spent("b", 1, 900, now);
+    cr_assert_not(limit.take(300, now));
+    cr_assert(limit.take(200, now));
+}
+
+Test(fleet_limit, report_that_comes_twice_or_late_is_counted_once) {
+    fleet_limit limit({}, rate, burst, start);
+    auto now = start + 2 * second;
+    limit.on_peer_spent("b", 1, 0, now);
+    limit.on_peer_spent("b", 1, 400, now);
+    limit.on_peer_spent("b", 1, 400, now);
+    limit.on_peer_spent("b", 1, 300, now);
+    cr_assert(limit.take(600, now));
+}
+
+Test(fleet_limit, lowered_limit_binds_at_once) {
+    fleet_limit limit({}, rate, burst, start);
+    auto now = start + 2 * second;
+    limit.set(10, 10, now);
+    cr_assert_not(limit.take(11, now) && limit.take(1, now));
+}
+
+Test(fleet_limit, silent_members_keep_their_even_part_of_the_rate) {
+    fleet_limit limit({}, rate, burst, start);
+    auto now = start + 2 * second;
+    cr_assert(limit.take(1000, now));
+    limit.set_members(4, 3, now);
+    cr_assert_not(limit.take(300, now + second));
+    cr_assert(limit.take(250, now + second));
+}
+
+Test(fleet_limit, eager_instances_together_stay_within_the_limit_and_use_it) {
+    constexpr double window_s = 8;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        limit_world world(8, seed);
+        double most = world.run(20 * second, 8 * second, false);
+        double bound = (rate * window_s + burst) * 1.1;
+        cr_assert_leq(most, bound, "seed %u spent %.0f", seed, most);
+        cr_assert_geq(most, rate * window_s * 0.9, "seed %u spent %.0f", seed, most);
+    }
+}
+
+Test(fleet_limit, both_sides_of_a_cut_together_stay_within_the_limit) {
+    constexpr double window_s = 8;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        limit_world world(8, seed);
+        double most = world.run(20 * second, 8 * second, true);
+        // The cut is noticed late by each side: what both spend until then is the slack.
+        double bound = (rate * window_s + burst) * 1.1 + 1.5 * rate;
+        cr_assert_leq(most, bound, "seed %u spent %.0f", seed, most);
+    }
+}
--- /dev/null
+++ b/test/service_retry_budget_test.cpp
@@ -0,0 +1,49 @@
+#include "azureyoke/src/coordination/service_retry_budget.h"
+
+#include <random>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace azureyoke::coordination;
+
+namespace {
+
+constexpr instant start{std::chrono::seconds(100)};
+constexpr int instances = 8;
+
+} // namespace
+
+Test(service_retry_budget, repeats_of_all_instances_stay_within_the_share_and_the_reserve) {
+    service_retry_settings settings;
+    std::mt19937 random(7);
+    std::vector<service_retry_budget> budgets(instances, service_retry_budget(settings));
+    std::deque<instant> requests;
+    std::deque<instant> repeats;
+    for (auto now = start; now < start + std::chrono::seconds(60);
+         now += std::chrono::milliseconds(10)) {
+        auto& it = budgets[random() % instances];
+        it.on_request(now);
+        requests.push_back(now);
+        // A general failure: every request would be sent again, several times.
+        for (int i = 0; i < 3; ++i) {
+            if (it.take(instances, now))
+                repeats.push_back(now);
+        }
+        while (now - requests.front() > settings.window)
+            requests.pop_front();
+        while (!repeats.empty() && now - repeats.front() > settings.window)
+            repeats.pop_front();
+        double bound = settings.share * static_cast<double>(requests.size()) + settings.reserve;
+        cr_assert_leq(static_cast<double>(repeats.size()), bound);
+    }
+}
+
+Test(service_retry_budget, quiet_instance_has_its_part_of_the_reserve) {
+    service_retry_budget budget({});
+    int taken = 0;
+    while (budget.take(instances, start))
+        ++taken;
+    cr_assert_geq(taken, 3);
+    cr_assert_leq(taken, 7);
+}
