--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -93,12 +93,18 @@
     peers_.send_now();
 }
 
-void forward_instance::on_named_weights(const std::string& model, std::int64_t version) {
-    auto& known = state_.weights[model];
-    if (version <= known.version)
+void forward_instance::on_named_weights(const std::string& model, std::int64_t version,
+                                        bool just_named) {
+    // What was named at an unknown time may be due; a peer that knows the time corrects this.
+    auto limit = std::chrono::milliseconds(settings_.weights_limit_ms);
+    learn_weights(model, version, loop_.now() - (just_named ? transport::duration(0) : limit),
+                  just_named);
+}
+
+void forward_instance::learn_weights(const std::string& model, std::int64_t version,
+                                     transport::instant since, bool certain) {
+    if (!state_.weights[model].learn(version, since, certain))
         return;
-    known.version = version;
-    known.since.emplace(version, loop_.now());
     log_.write(event_id::weights_named, {{"model", model}, {"weights", std::to_string(version)}});
 }
 
@@ -156,8 +162,10 @@
         made.spent[name] = it.spent();
         it.on_reported();
     }
-    for (const auto& [model, it] : state_.weights)
-        made.named_weights[model] = it.version;
+    for (const auto& [model, it] : state_.weights) {
+        if (it.certain)
+            made.named_weights[model] = {it.version, it.age_ms(loop_.now())};
+    }
     made.notices = weights_.notices();
     made.work = state_.router.own_work();
     made.placed = state_.router.take_placed();
@@ -173,8 +181,8 @@
         if (auto* limit = state_.limit(name))
             limit->on_peer_spent(report.instance, report.incarnation, total, now);
     }
-    for (const auto& [model, version] : report.named_weights)
-        on_named_weights(model, version);
+    for (const auto& [model, it] : report.named_weights)
+        learn_weights(model, it.version, now - std::chrono::milliseconds(it.age_ms), true);
     for (const auto& it : report.notices) {
         if (it.changing)
             state_.router.on_change_announced(it.server, it.model, it.version, now);
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -27,7 +27,9 @@
 public:
     virtual ~registry_listener() = default;
     virtual void on_policy(const policy_copy& copy) = 0;
-    virtual void on_named_weights(const std::string& model, std::int64_t version) = 0;
+    /// \brief New weights are wanted. `just_named` is false when they may have been for long.
+    virtual void on_named_weights(const std::string& model, std::int64_t version,
+                                  bool just_named) = 0;
     /// \brief The whole list of backend servers, at the start and after a gap.
     virtual void on_servers(const std::vector<state::fleet_server>& list) = 0;
     virtual void on_server(const state::fleet_server& entry) = 0;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,7 +22,28 @@
 /// \brief Weights that operators want for a model.
 struct named_weights {
     std::int64_t version = 0; ///< The newest.
-    std::map<std::int64_t, transport::instant> since; ///< When each one became known here.
+    std::map<std::int64_t, transport::instant> since; ///< When each one was named.
+    bool certain = false; ///< Whether the time of the newest one is known, and not guessed.
+
+    /// \returns whether the version is new. A certain time replaces a guessed one, and of two
+    /// certain ones the earlier holds: each is when somebody learned of it.
+    bool learn(std::int64_t number, transport::instant at, bool is_certain) {
+        bool fresh = number > version;
+        if (fresh) {
+            version = number;
+            since[number] = at;
+            certain = is_certain;
+        } else if (number == version && is_certain) {
+            since[number] = certain ? std::min(since[number], at) : at;
+            certain = true;
+        }
+        return fresh;
+    }
+
+    std::int64_t age_ms(transport::instant now) const {
+        auto found = since.find(version);
+        return found == since.end() ? 0 : (now - found->second) / std::chrono::milliseconds(1);
+    }
 
     /// \returns the newest version that was known for `age`; 0 when none was.
     std::int64_t known_for(transport::duration age, transport::instant now) const {
