--- /dev/null
+++ b/test/forward_stress_test.cpp
@@ -0,0 +1,140 @@
+#include "forward_fixture.h"
+
+#include <map>
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace azureyoke;
+using state::run_rule;
+
+namespace {
+
+const std::string head = "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\n";
+
+/// Answers of servers in every state of health.
+const std::vector<scripted_server::answer>& answers() {
+    static const std::vector<scripted_server::answer> list = {
+        {head + "Content-Length: 4\r\n\r\nbody"},
+        {head + "Content-Length: 4\r\n\r\nbody"},
+        {head + "Content-Length: 4\r\n\r\nbody", true},
+        {head + "Content-Length: 9\r\n\r\nbody", true},
+        {head + "Transfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: abcdefg\n\n\r\n0\r\n\r\n"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: abcdefg\n\n\r\n", true},
+        {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nid: 1\r\n", true},
+        {head + "\r\nunframed", true},
+        {"HTTP/1.1 503 S\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n"},
+        {"HTTP/1.1 421 M\r\nContent-Length: 0\r\n\r\n"},
+        {"HTTP/1.1 500 E\r\nid: ID\r\nstamp: s\r\nContent-Length: 1\r\n\r\nx"},
+        {head + "Content-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nid: x\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nid: old\r\nstamp: s\r\nContent-Length: 1\r\n\r\ny" + head +
+         "Content-Length: 4\r\n\r\nbody"},
+        {"garbage\r\n\r\n"},
+        {"", true},
+        {""},
+    };
+    return list;
+}
+
+/// A caller that may leave before its answer.
+class caller : public transport::backend_answer_sink,
+               public std::enable_shared_from_this<caller> {
+public:
+    caller(std::string id, int& open) : id_(std::move(id)), open_(open) { ++open_; }
+
+    void begin(forward_fixture& fixture, bool leaves) {
+        call_ = fixture.callers.send(fixture.at,
+                                     {"POST", "/r/x", {{"id", id_}, {"deadline", "150"}}, "body"},
+                                     true, shared_from_this());
+        if (leaves)
+            leave_ = fixture.loop.after(std::chrono::milliseconds(5), [this] {
+                call_.reset();
+                finish();
+            });
+    }
+
+    transport::answer_verdict on_head(const transport::http_head& got) override {
+        bool success = got.status == 200;
+        foreign = success && transport::find_field(got.fields, "id") != id_;
+        unsigned_success = success && !transport::find_field(got.fields, "stamp");
+        not_run = got.status == 503 || got.status == 429;
+        return transport::answer_verdict::take;
+    }
+
+    void on_piece(std::string_view /*piece*/) override {}
+
+    void on_end() override { finish(); }
+
+    void on_failure(const transport::error& /*ec*/) override { finish(); }
+
+    const std::string& id() const { return id_; }
+
+    bool foreign = false;
+    bool unsigned_success = false;
+    bool not_run = false;
+
+private:
+    void finish() {
+        if (done_)
+            return;
+        done_ = true;
+        --open_;
+    }
+
+    std::string id_;
+    int& open_;
+    bool done_ = false;
+    std::unique_ptr<transport::backend_call> call_;
+    std::unique_ptr<transport::timer> leave_;
+};
+
+void run_history(run_rule rule, bool resumable, unsigned seed) {
+    auto route = forward_fixture::route(rule, 2);
+    route.resumable = resumable;
+    forward_fixture it(route);
+    std::mt19937 random(seed);
+    for (auto* server : {&it.first, &it.second}) {
+        for (int i = 0; i < 400; ++i)
+            server->script.push_back(answers()[random() % answers().size()]);
+    }
+    int open = 0;
+    std::vector<std::shared_ptr<caller>> all;
+    for (int i = 0; i < 150; ++i) {
+        all.push_back(std::make_shared<caller>("q" + std::to_string(i), open));
+        all.back()->begin(it, random() % 5 == 0);
+        for (int turns = static_cast<int>(random() % 4); turns > 0; --turns)
+            it.loop.turn(false);
+    }
+    while (open > 0)
+        it.loop.turn(true);
+    std::map<std::string, int> arrivals;
+    for (auto* server : {&it.first, &it.second}) {
+        for (const auto& request : server->requests)
+            ++arrivals[*transport::find_field(request.fields, "id")];
+    }
+    for (const auto& one : all) {
+        cr_assert_not(one->foreign, "seed %u: %s got an answer of another", seed,
+                      one->id().c_str());
+        cr_assert_not(one->unsigned_success, "seed %u: %s", seed, one->id().c_str());
+    }
+    // An answer that says that the request did not run may be followed by one more send each.
+    for (const auto& [id, n] : arrivals)
+        cr_assert_leq(n, 4, "seed %u: %s reached servers %d times", seed, id.c_str(), n);
+}
+
+} // namespace
+
+Test(forward_stress, repeatable_requests_against_failing_servers_and_leaving_callers) {
+    for (unsigned seed = 1; seed <= 5; ++seed)
+        run_history(run_rule::repeatable, false, seed);
+}
+
+Test(forward_stress, requests_that_run_once_against_failing_servers_and_leaving_callers) {
+    for (unsigned seed = 1; seed <= 5; ++seed)
+        run_history(run_rule::once, false, seed);
+}
+
+Test(forward_stress, resumable_streams_against_failing_servers_and_leaving_callers) {
+    for (unsigned seed = 1; seed <= 5; ++seed)
+        run_history(run_rule::stream, true, seed);
+}
