--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -102,7 +102,7 @@
     auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, to == log_stream::output ? log4cxx::ConsoleAppender::getSystemOut()
-                                        : log4cxx::ConsoleAppender::getSystemErr());
+                                         : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
 }
 
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -41,8 +41,9 @@
                                    forward_world world)
     : loop_(loop), settings_(std::move(settings)), world_(world),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
-      lines_(internal::lines_per_second), backends_(loop, {}), state_(settings_),
-      services_{settings_, loop_, backends_, world_.dialect, state_, log_, lines_, metrics_, false},
+      lines_(internal::lines_per_second), backends_(loop, {}),
+      state_(settings_), services_{settings_, loop_,  backends_, world_.dialect, state_,
+                                   log_,      lines_, metrics_,  false},
       peers_(
           loop, settings_, world_.records, log_, [this] { return report(); },
           [this](const auto& it) { on_peer_report(it); }),
@@ -51,18 +52,19 @@
                [this](const auto& exchange) {
                    std::make_shared<forward_session>(services_, exchange)->start();
                }),
-      readiness_(loop, {},
-                 [this](const auto& exchange) {
-                     exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
-                 }),
+      readiness_(
+          loop, {},
+          [this](const auto& exchange) {
+              exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
+          }),
       operators_(loop, {}, [this](const auto& exchange) { on_operator_request(exchange); }) {}
 
 forward_instance::~forward_instance() = default;
 
 transport::result<void> forward_instance::start() {
-    for (auto [server, at] : {std::pair(&callers_, settings_.callers),
-                              std::pair(&readiness_, settings_.readiness),
-                              std::pair(&operators_, settings_.operators)}) {
+    for (auto [server, at] :
+         {std::pair(&callers_, settings_.callers), std::pair(&readiness_, settings_.readiness),
+          std::pair(&operators_, settings_.operators)}) {
         auto bound = server->listen(at);
         if (!bound)
             return tl::unexpected(bound.error());
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -38,8 +38,7 @@
 
 private:
     void on_policy(const policy_copy& copy) override;
-    void on_named_weights(const std::string& model, std::int64_t version,
-                          bool just_named) override;
+    void on_named_weights(const std::string& model, std::int64_t version, bool just_named) override;
     void learn_weights(const std::string& model, std::int64_t version, transport::instant since,
                        bool certain);
     void on_servers(const std::vector<state::fleet_server>& list) override;
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -109,15 +109,15 @@
 
 /// \brief What an instance tells a backend server beside the caller's own fields.
 struct forward_directive {
-    std::string server;                     ///< Only this one may run it.
-    std::string workspace;                  ///< Empty on a keyless route.
-    std::int64_t deadline_ms = 0;           ///< What is left.
-    std::string cache_wall;                 ///< Caches are shared only under the same text.
-    std::optional<std::int64_t> weights;    ///< Only these may run it.
-    std::string last_event;                 ///< The stream goes on after this event.
-    std::string cache_holder;               ///< Address to fetch cached parts from.
-    std::string cache_keeper;               ///< Address of the store that shall keep the parts.
-    std::optional<int> urgency;             ///< 0 is first.
+    std::string server;                  ///< Only this one may run it.
+    std::string workspace;               ///< Empty on a keyless route.
+    std::int64_t deadline_ms = 0;        ///< What is left.
+    std::string cache_wall;              ///< Caches are shared only under the same text.
+    std::optional<std::int64_t> weights; ///< Only these may run it.
+    std::string last_event;              ///< The stream goes on after this event.
+    std::string cache_holder;            ///< Address to fetch cached parts from.
+    std::string cache_keeper;            ///< Address of the store that shall keep the parts.
+    std::optional<int> urgency;          ///< 0 is first.
 
     friend bool operator==(const forward_directive&, const forward_directive&) = default;
 };
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -18,7 +18,8 @@
 class forward_session : public std::enable_shared_from_this<forward_session>,
                         public transport::backend_answer_sink {
 public:
-    forward_session(forward_services& services, std::shared_ptr<transport::front_exchange> exchange);
+    forward_session(forward_services& services,
+                    std::shared_ptr<transport::front_exchange> exchange);
 
     void start();
 
--- a/azureyoke/src/app/forward_settings.h
+++ b/azureyoke/src/app/forward_settings.h
@@ -18,8 +18,8 @@
     transport::address callers;
     transport::address readiness;
     transport::address operators;
-    transport::address peers;    ///< UDP between instances.
-    transport::address registry; ///< The platform's metadata store.
+    transport::address peers;              ///< UDP between instances.
+    transport::address registry;           ///< The platform's metadata store.
     std::vector<transport::address> seeds; ///< Operator addresses of other instances.
     std::int64_t drain_limit_ms = 7500;
     double retry_share = 0.2;
--- a/azureyoke/src/app/forward_state.cpp
+++ b/azureyoke/src/app/forward_state.cpp
@@ -34,7 +34,8 @@
             continue;
         auto found = limits.find(it.name);
         if (found == limits.end()) {
-            auto made = kept.emplace(it.name, coordination::fleet_limit({}, it.rate, it.burst, now));
+            auto made =
+                kept.emplace(it.name, coordination::fleet_limit({}, it.rate, it.burst, now));
             made.first->second.set_members(instances, silent_instances, now);
             continue;
         }
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -21,7 +21,7 @@
 
 /// \brief Weights that operators want for a model.
 struct named_weights {
-    std::int64_t version = 0; ///< The newest.
+    std::int64_t version = 0;                         ///< The newest.
     std::map<std::int64_t, transport::instant> since; ///< When each one was named.
     bool certain = false; ///< Whether the time of the newest one is known, and not guessed.
 
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -185,13 +185,12 @@
 }
 
 bool peer_board::any_heard(transport::instant now) const {
-    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return now - it.second.heard <= internal::silence;
-    });
+    return std::any_of(peers_.begin(), peers_.end(),
+                       [&](const auto& it) { return now - it.second.heard <= internal::silence; });
 }
 
-std::optional<transport::address>
-peer_board::holder_of_newer_policy(std::int64_t version, transport::instant now) const {
+std::optional<transport::address> peer_board::holder_of_newer_policy(std::int64_t version,
+                                                                     transport::instant now) const {
     for (const auto& [name, it] : peers_) {
         if (it.last.policy_version <= version || now - it.heard > internal::silence)
             continue;
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -20,10 +20,18 @@
     auto placed = json::array();
     for (const auto& it : report.placed)
         placed.push_back({it.server, it.links});
-    json body = {report.instance,      report.incarnation,   report.peers,
-                 report.operators,     report.leaving,       report.holds_lease,
-                 report.policy_version, report.spent,        named,
-                 notices,              report.reaches_registry, work,
+    json body = {report.instance,
+                 report.incarnation,
+                 report.peers,
+                 report.operators,
+                 report.leaving,
+                 report.holds_lease,
+                 report.policy_version,
+                 report.spent,
+                 named,
+                 notices,
+                 report.reaches_registry,
+                 work,
                  placed};
     std::string bytes;
     json::to_cbor(body, bytes);
@@ -45,7 +53,8 @@
         made.policy_version = body[6].get<std::int64_t>();
         made.spent = body[7].get<std::map<std::string, double>>();
         for (const auto& [model, it] : body[8].items())
-            made.named_weights[model] = {it.at(0).get<std::int64_t>(), it.at(1).get<std::int64_t>()};
+            made.named_weights[model] = {it.at(0).get<std::int64_t>(),
+                                         it.at(1).get<std::int64_t>()};
         for (const auto& it : body[9])
             made.notices.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
                                     it.at(2).get<std::int64_t>(), it.at(3).get<bool>()});
@@ -53,8 +62,8 @@
         for (const auto& [server, it] : body[11].items())
             made.work[server] = {it.at(0).get<int>(), it.at(1).get<std::int64_t>()};
         for (const auto& it : body[12])
-            made.placed.push_back({it.at(0).get<std::string>(),
-                                   it.at(1).get<std::vector<std::uint64_t>>()});
+            made.placed.push_back(
+                {it.at(0).get<std::string>(), it.at(1).get<std::vector<std::uint64_t>>()});
         return made;
     } catch (const json::exception&) {
         return std::nullopt; // a field of another type: the sender is no instance of ours
--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -83,9 +83,8 @@
     auto now = loop_.now();
     tell_completed();
     auto list = servers();
-    bool work = !stopping_ && std::any_of(list.begin(), list.end(), [](const auto& it) {
-        return it.weights < it.wanted;
-    });
+    bool work = !stopping_ && std::any_of(list.begin(), list.end(),
+                                          [](const auto& it) { return it.weights < it.wanted; });
     if (!work)
         work_since_ = {};
     else if (work_since_ == transport::instant())
@@ -124,8 +123,8 @@
             if (record->version != 0 && !row)
                 log_.warn(event_id::platform_row_unreadable, {{"row", internal::lease_record}});
             auto now = transport::boot_now();
-            for (const auto& it : lease_.on_row(number, record->version,
-                                                row.value_or(state::lease_row()), now))
+            for (const auto& it :
+                 lease_.on_row(number, record->version, row.value_or(state::lease_row()), now))
                 run(it);
         });
         return;
@@ -148,8 +147,8 @@
     }
     for (const auto& it : completed) {
         tell(it);
-        log_.write(event_id::weights_in_place, {{"backend_server", it.server},
-                                                {"weights", std::to_string(it.version)}});
+        log_.write(event_id::weights_in_place,
+                   {{"backend_server", it.server}, {"weights", std::to_string(it.version)}});
     }
 }
 
--- a/azureyoke/src/app/weights_service.h
+++ b/azureyoke/src/app/weights_service.h
@@ -20,6 +20,7 @@
                     server_orders& orders, peer_board& peers, const event_log& log);
 
     void start();
+
     /// \brief The instance leaves: it orders nothing more and gives the lease back.
     void stop() { stopping_ = true; }
 
--- a/azureyoke/src/coordination/event_relay.h
+++ b/azureyoke/src/coordination/event_relay.h
@@ -16,6 +16,7 @@
     std::string feed(std::string_view bytes);
     /// \brief The stream ended in order. \returns what was held back of an unfinished event.
     std::string finish();
+
     /// \brief Another server goes on: the unfinished event comes again.
     void restart() { partial_.clear(); }
 
--- a/azureyoke/src/coordination/fleet_directory.h
+++ b/azureyoke/src/coordination/fleet_directory.h
@@ -31,8 +31,10 @@
     void remove(const std::string& id, instant now);
     /// \brief The registry's whole list: entries that it lacks are removed.
     void replace_all(const std::vector<state::fleet_server>& entries, instant now);
+
     /// \brief The registry answers again after it did not.
     void on_registry_back(instant now) { back_at_ = now; }
+
     /// \brief Drops lapsed entries whose grace is over. \returns their ids.
     std::vector<std::string> expire(instant now);
 
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -45,6 +45,11 @@
     return found != cached_.end() && now - found->second < settings_.cache_life;
 }
 
+bool fleet_router::surely_keeps(const std::string& server, std::uint64_t link, instant now) const {
+    auto found = cached_.find(internal::hash_of(server, link));
+    return found != cached_.end() && now - found->second < settings_.sure_cache;
+}
+
 std::int64_t fleet_router::shared_tokens_to_read(const candidate& it,
                                                  const placement_question& question,
                                                  instant now) const {
@@ -131,14 +136,14 @@
     if (chain.empty() || choice.weights == 0)
         return;
     auto last = chain.back();
-    choice.fetch = !keeps(choice.server, last, now);
+    choice.fetch = !surely_keeps(choice.server, last, now);
     auto saved = saved_.find(last);
     choice.save = saved == saved_.end() || now - saved->second >= settings_.saved_life;
     if (!choice.fetch)
         return;
     for (const auto& it : list) {
-        if (it.keeps && it.server->id != choice.server && it.weights == choice.weights &&
-            it.usable)
+        if (it.server->id != choice.server && it.weights == choice.weights && it.usable &&
+            surely_keeps(it.server->id, last, now))
             choice.cache_holder = it.server->id;
     }
 }
@@ -161,8 +166,8 @@
     };
     for (auto& it : list)
         weigh(it, question, now);
-    bool known = std::any_of(list.begin(), list.end(),
-                             [](const auto& it) { return it.keeps && it.usable; });
+    bool known =
+        std::any_of(list.begin(), list.end(), [](const auto& it) { return it.keeps && it.usable; });
     if (!known) {
         auto& home = *std::max_element(list.begin(), list.end(), by_home);
         home.cost = home.cost - home_bonus(question);
@@ -252,8 +257,7 @@
 
 void fleet_router::on_first_answer(const fleet_choice& choice, duration took, instant /*now*/) {
     auto& view = views_[choice.server];
-    view.own.unread_tokens =
-        std::max<std::int64_t>(0, view.own.unread_tokens - choice.new_tokens);
+    view.own.unread_tokens = std::max<std::int64_t>(0, view.own.unread_tokens - choice.new_tokens);
     news_ = true;
     double expected = std::max(choice.first_answer_ms / view.slowness, internal::least_estimate_ms);
     double ratio = to_seconds(took) * 1000 / expected;
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -25,7 +25,9 @@
     duration first_suspension = std::chrono::milliseconds(400);
     duration longest_suspension = std::chrono::seconds(4);
     duration shed_pause = std::chrono::milliseconds(150); ///< After a refusal for want of room.
-    duration cache_life = std::chrono::seconds(60); ///< A part that was sent is thought cached.
+    duration cache_life = std::chrono::seconds(60);  ///< A part that was sent is thought cached.
+    /// A part that was not used for this long may have made room for others.
+    duration sure_cache = std::chrono::milliseconds(1500);
     duration change_pause = std::chrono::seconds(3); ///< A server that changes weights is avoided.
     double other_data_centre_ms = 0.6;
     double old_weights_ms = 80; ///< Handicap of a server whose weights are not the newest.
@@ -82,12 +84,12 @@
 
 /// \brief How the work of one call ended for its server.
 enum class call_end {
-    answered, ///< With success.
-    error,    ///< With a failure of the server's own.
-    shed,     ///< Refused without being run.
-    broken,   ///< No whole answer came.
+    answered,  ///< With success.
+    error,     ///< With a failure of the server's own.
+    shed,      ///< Refused without being run.
+    broken,    ///< No whole answer came.
     unreached, ///< No connection was made.
-    cancelled ///< The caller left.
+    cancelled  ///< The caller left.
 };
 
 /// \brief Chooses a server for each request from caches, load, speed and failures.
@@ -120,6 +122,7 @@
 
     /// \brief Own work at each server that has any, to tell the peers.
     std::map<std::string, server_work> own_work() const;
+
     /// \brief Prompts placed since the last call, to tell the peers.
     std::vector<placed_prompt> take_placed() { return std::exchange(placed_, {}); }
 
@@ -181,11 +184,14 @@
     std::int64_t shared_tokens_to_read(const candidate& it, const placement_question& question,
                                        instant now) const;
     bool keeps(const std::string& server, std::uint64_t link, instant now) const;
+    /// \brief As `keeps`, and used so lately that the part is surely there.
+    bool surely_keeps(const std::string& server, std::uint64_t link, instant now) const;
     void find_cache_source(fleet_choice& choice, const std::vector<candidate>& list,
                            const placement_question& question, instant now);
     double home_bonus(const placement_question& question) const;
     void add_peer_work(const peer_view& view, int sign);
-    void trim(std::unordered_map<std::uint64_t, instant>& entries, duration life, instant now) const;
+    void trim(std::unordered_map<std::uint64_t, instant>& entries, duration life,
+              instant now) const;
 
     fleet_router_settings settings_;
     std::unordered_map<std::string, server_view> views_;
--- a/azureyoke/src/coordination/service_retry_budget.h
+++ b/azureyoke/src/coordination/service_retry_budget.h
@@ -8,8 +8,8 @@
 namespace azureyoke::coordination {
 
 struct service_retry_settings {
-    double share = 0.2;                        ///< Repeats for each request.
-    double reserve = 50;                       ///< Repeats in each window besides, over all.
+    double share = 0.2;                         ///< Repeats for each request.
+    double reserve = 50;                        ///< Repeats in each window besides, over all.
     duration window = std::chrono::seconds(10); ///< Over which both are counted.
     double caution = 0.7; ///< Of the allowance that is used; instances see uneven shares.
 
@@ -31,8 +31,8 @@
         expire(requests_, now);
         expire(repeats_, now);
         double reserve = settings_.reserve / std::max(1, instances);
-        double most = settings_.caution *
-                      (settings_.share * static_cast<double>(requests_.size()) + reserve);
+        double most =
+            settings_.caution * (settings_.share * static_cast<double>(requests_.size()) + reserve);
         if (static_cast<double>(repeats_.size()) + 1 > most)
             return false;
         repeats_.push_back(now);
--- a/azureyoke/src/coordination/weights_rollout.cpp
+++ b/azureyoke/src/coordination/weights_rollout.cpp
@@ -18,14 +18,12 @@
         if (it.weights < it.wanted)
             behind.push_back(&it);
     }
-    std::stable_sort(behind.begin(), behind.end(),
-                     [](const auto* a, const auto* b) {
-                         return std::pair(a->weights, a->load) < std::pair(b->weights, b->load);
-                     });
+    std::stable_sort(behind.begin(), behind.end(), [](const auto* a, const auto* b) {
+        return std::pair(a->weights, a->load) < std::pair(b->weights, b->load);
+    });
     auto current = static_cast<std::size_t>(
-        std::count_if(changes_.begin(), changes_.end(), [&](const auto& it) {
-            return now - it.second.began < settings_.overdue;
-        }));
+        std::count_if(changes_.begin(), changes_.end(),
+                      [&](const auto& it) { return now - it.second.began < settings_.overdue; }));
     for (const auto* it : behind) {
         if (current >= settings_.most_changes)
             break;
@@ -76,7 +74,8 @@
     }
 }
 
-void weights_rollout::on_look(const std::string& server, std::int64_t orders, bool busy, instant now) {
+void weights_rollout::on_look(const std::string& server, std::int64_t orders, bool busy,
+                              instant now) {
     auto found = changes_.find(server);
     if (found == changes_.end())
         return;
--- a/azureyoke/src/coordination/weights_rollout.h
+++ b/azureyoke/src/coordination/weights_rollout.h
@@ -13,8 +13,9 @@
     /// Servers that change at once; more than two load the more slowly.
     std::size_t most_changes = 3;
     duration look_period = std::chrono::milliseconds(100); ///< Between looks at a changing server.
-    duration again = std::chrono::milliseconds(700);      ///< Before an unanswered order is sent again.
-    duration overdue = std::chrono::seconds(4); ///< A change that takes longer makes room for another.
+    duration again = std::chrono::milliseconds(700); ///< Before an unanswered order is sent again.
+    duration overdue =
+        std::chrono::seconds(4); ///< A change that takes longer makes room for another.
 
     friend bool operator==(const weights_rollout_settings&,
                            const weights_rollout_settings&) = default;
@@ -47,18 +48,19 @@
 };
 
 enum class order_outcome {
-    accepted,    ///< The server carries it out.
-    in_place,    ///< It has these weights already.
-    conflict,    ///< Another order is under way, or others were accepted before.
-    refused,     ///< It will never be carried out.
-    unanswered   ///< It may be carried out, now or later.
+    accepted,  ///< The server carries it out.
+    in_place,  ///< It has these weights already.
+    conflict,  ///< Another order is under way, or others were accepted before.
+    refused,   ///< It will never be carried out.
+    unanswered ///< It may be carried out, now or later.
 };
 
 /// \brief Decides which orders the holder of the lease gives so that servers take named weights.
 ///
-/// A few change at once, those with the oldest weights first, so that the others serve meanwhile; a server that has taken weights which
-/// were named over since is ordered again. An order without an answer may still be carried out, so
-/// that each one holds only for the count of orders accepted before it. Pure. Not thread safe.
+/// A few change at once, those with the oldest weights first, so that the others serve meanwhile; a
+/// server that has taken weights which were named over since is ordered again. An order without an
+/// answer may still be carried out, so that each one holds only for the count of orders accepted
+/// before it. Pure. Not thread safe.
 class weights_rollout {
 public:
     explicit weights_rollout(const weights_rollout_settings& settings);
@@ -67,6 +69,7 @@
     void on_order(const std::string& server, order_outcome outcome, instant now);
     /// \brief The server said what it has.
     void on_look(const std::string& server, std::int64_t orders, bool busy, instant now);
+
     /// \brief The lease was lost: another instance may order now.
     void clear() { changes_.clear(); }
 
--- a/azureyoke/src/state/json_reader.cpp
+++ b/azureyoke/src/state/json_reader.cpp
@@ -213,10 +213,10 @@
     const auto* value = find(field, false);
     if (value == nullptr)
         return fallback;
-    bool fits =
-        value->is_number() && value->get<double>() >= low && value->get<double>() <= high;
+    bool fits = value->is_number() && value->get<double>() >= low && value->get<double>() <= high;
     if (!fits) {
-        fault(field, "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
+        fault(field,
+              "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
         return fallback;
     }
     return value->get<double>();
--- a/azureyoke/src/transport/front_connection.cpp
+++ b/azureyoke/src/transport/front_connection.cpp
@@ -97,8 +97,7 @@
     if (closed_ || closing_)
         return;
     since_ = server_.loop_.now();
-    exchange_ =
-        std::make_shared<front_exchange>(*this, std::move(head_), std::move(body_), since_);
+    exchange_ = std::make_shared<front_exchange>(*this, std::move(head_), std::move(body_), since_);
     head_ = {};
     body_ = {};
     auto exchange = exchange_;
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -75,8 +75,8 @@
     if (over())
         return;
     started_ = true;
-    auto out = internal::render_head(answer.status, answer.fields,
-                                     connection_->closes_after_answer());
+    auto out =
+        internal::render_head(answer.status, answer.fields, connection_->closes_after_answer());
     if (!internal::has_no_body(answer.status))
         out += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     out += "\r\n";
--- a/azureyoke/src/transport/http_reader.cpp
+++ b/azureyoke/src/transport/http_reader.cpp
@@ -92,12 +92,11 @@
     }
 };
 
-http_reader::http_reader(http_reader_kind kind, std::size_t most_head_bytes,
-                         http_reader_sink& sink)
+http_reader::http_reader(http_reader_kind kind, std::size_t most_head_bytes, http_reader_sink& sink)
     : kind_(kind), most_head_bytes_(most_head_bytes), sink_(sink),
       parser_(std::make_unique<parser>()) {
-    http_parser_init(&parser_->raw, kind == http_reader_kind::requests ? HTTP_REQUEST
-                                                                       : HTTP_RESPONSE);
+    http_parser_init(&parser_->raw,
+                     kind == http_reader_kind::requests ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_->raw.data = this;
 }
 
@@ -128,15 +127,16 @@
     }
     head_.keep_alive = http_should_keep_alive(&raw) != 0;
     bool has_length = raw.content_length != std::numeric_limits<std::uint64_t>::max();
-    bool bodiless = no_body_ || (!request && (raw.status_code < 200 || raw.status_code == 204 ||
-                                              raw.status_code == 304));
+    bool bodiless =
+        no_body_ ||
+        (!request && (raw.status_code < 200 || raw.status_code == 204 || raw.status_code == 304));
     if (bodiless)
         head_.framing = http_framing::none;
     else if ((raw.flags & F_CHUNKED) != 0)
         head_.framing = http_framing::chunked;
     else if (has_length)
-        head_.framing = raw.content_length == 0 && request ? http_framing::none
-                                                           : http_framing::length;
+        head_.framing =
+            raw.content_length == 0 && request ? http_framing::none : http_framing::length;
     else
         head_.framing = request ? http_framing::none : http_framing::until_close;
     head_.length = has_length && !bodiless ? raw.content_length : 0;
--- a/azureyoke/src/transport/http_reader.h
+++ b/azureyoke/src/transport/http_reader.h
@@ -14,10 +14,10 @@
 
 /// \brief How a message says where its body ends.
 enum class http_framing {
-    none,          ///< It has no body.
-    length,        ///< `Content-Length`
-    chunked,       ///< `Transfer-Encoding: chunked`
-    until_close    ///< It ends with the connection. Answers only.
+    none,       ///< It has no body.
+    length,     ///< `Content-Length`
+    chunked,    ///< `Transfer-Encoding: chunked`
+    until_close ///< It ends with the connection. Answers only.
 };
 
 /// \brief Start line and fields of a message.
@@ -60,6 +60,7 @@
     std::size_t feed(std::string_view bytes);
     /// \brief The connection has ended in order; completes an answer without a length.
     void feed_end();
+
     /// \brief The next answer has no body whatever its fields say: it answers a HEAD request.
     void expect_no_body() { no_body_ = true; }
 
--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -115,6 +115,16 @@
     cr_assert_eq(second->cache_holder, first.server);
 }
 
+Test(fleet_router, part_that_was_not_used_lately_is_fetched_where_it_is_thought_cached) {
+    router_fixture it(1);
+    auto question = router_fixture::prompt("t");
+    (void)it.send(question, start);
+    cr_assert_not(it.router.choose(it.directory, question, start + 1000 * ms)->fetch);
+    auto later = it.router.choose(it.directory, question, start + 3000 * ms);
+    cr_assert(later->fetch, "other prompts may have taken its room");
+    cr_assert_eq(later->new_tokens, 2900);
+}
+
 Test(fleet_router, work_that_a_peer_reports_is_avoided_until_the_peer_is_silent) {
     router_fixture it;
     auto question = router_fixture::prompt("t");
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -67,14 +67,13 @@
 class scripted_server {
 public:
     struct answer {
-        std::string bytes;   ///< `ID` in it is replaced by the request's id.
-        bool close = false;  ///< Closes the connection after the bytes.
+        std::string bytes;  ///< `ID` in it is replaced by the request's id.
+        bool close = false; ///< Closes the connection after the bytes.
     };
 
     explicit scripted_server(transport::event_loop& loop)
-        : loop_(loop), listener_(loop, [this](int fd) {
-              links_.push_back(std::make_unique<link>(*this, fd));
-          }) {
+        : loop_(loop),
+          listener_(loop, [this](int fd) { links_.push_back(std::make_unique<link>(*this, fd)); }) {
         at_ = *listener_.listen({"127.0.0.1", 0});
     }
 
@@ -86,8 +85,7 @@
 private:
     struct link : transport::tcp_stream_sink, transport::http_reader_sink {
         link(scripted_server& server, int fd)
-            : owner(server),
-              reader(transport::http_reader_kind::requests, 64 * 1024, *this),
+            : owner(server), reader(transport::http_reader_kind::requests, 64 * 1024, *this),
               stream(std::make_unique<transport::tcp_stream>(server.loop_, fd, *this)) {}
 
         void on_bytes(std::string_view bytes) override {
--- a/test/forward_session_test.cpp
+++ b/test/forward_session_test.cpp
@@ -9,11 +9,9 @@
 
 namespace {
 
-const std::string good =
-    "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nContent-Length: 4\r\n\r\nbody";
+const std::string good = "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nContent-Length: 4\r\n\r\nbody";
 const std::string shed = "HTTP/1.1 503 S\r\nid: ID\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
-const std::string failed =
-    "HTTP/1.1 500 E\r\nid: ID\r\nstamp: s\r\nContent-Length: 1\r\n\r\nx";
+const std::string failed = "HTTP/1.1 500 E\r\nid: ID\r\nstamp: s\r\nContent-Length: 1\r\n\r\nx";
 const std::string stream_head =
     "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
 
--- a/test/forward_stress_test.cpp
+++ b/test/forward_stress_test.cpp
@@ -37,8 +37,7 @@
 }
 
 /// A caller that may leave before its answer.
-class caller : public transport::backend_answer_sink,
-               public std::enable_shared_from_this<caller> {
+class caller : public transport::backend_answer_sink, public std::enable_shared_from_this<caller> {
 public:
     caller(std::string id, int& open) : id_(std::move(id)), open_(open) { ++open_; }
 
--- a/test/http_reader_test.cpp
+++ b/test/http_reader_test.cpp
@@ -90,8 +90,7 @@
 Test(http_reader, interim_answer_is_a_message_of_its_own) {
     reader_fixture it(http_reader_kind::answers);
     std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    cr_assert_eq(it.feed(interim + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
-                 interim.size());
+    cr_assert_eq(it.feed(interim + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), interim.size());
     cr_assert_eq(it.seen.heads[0].status, 100);
 }
 
--- a/test/weights_rollout_test.cpp
+++ b/test/weights_rollout_test.cpp
@@ -44,10 +44,12 @@
     instant run(double unanswered_share) {
         for (auto now = start; now < start + std::chrono::seconds(60); now += tick_period) {
             // Weights are named over three times while servers change.
-            std::int64_t wanted = 2 + std::min<std::int64_t>(3, (now - start) / std::chrono::seconds(1));
+            std::int64_t wanted =
+                2 + std::min<std::int64_t>(3, (now - start) / std::chrono::seconds(1));
             advance(now);
-            bool done = wanted == 5 && std::all_of(servers_.begin(), servers_.end(),
-                                                   [](const auto& it) { return it.second.weights == 5; });
+            bool done =
+                wanted == 5 && std::all_of(servers_.begin(), servers_.end(),
+                                           [](const auto& it) { return it.second.weights == 5; });
             if (done && late_.empty())
                 return now;
             std::vector<rollout_server> list;
