--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -99,6 +102,9 @@
 }
 
 void start_logging(log_stream to) {
+    // A reader that stalls costs lines and never holds requests up.
+    if (to == log_stream::output)
+        (void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, to == log_stream::output ? log4cxx::ConsoleAppender::getSystemOut()
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -10,7 +10,8 @@
 namespace internal {
 namespace {
 
-constexpr int lines_per_second = 200; ///< Of each kind of event.
+/// Of each kind of event about requests, so that refusals are not crowded out by successes.
+constexpr int lines_per_second = 50;
 constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
 /// A policy that peers have is waited for from the registry first.
 constexpr transport::duration policy_patience = std::chrono::milliseconds(150);
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -129,6 +129,8 @@
     double patience = patience_ms(*route_, ms_left());
     if (sends_ == 0 && choice_->first_answer_ms > patience) {
         auto excess = (choice_->first_answer_ms - patience) / 1000;
+        last_server_ = choice_->server;
+        last_estimate_ms_ = choice_->first_answer_ms;
         choice_.reset();
         refuse(503, "the wait would be longer than the caller's time", excess + least_retry_s);
         return;
