--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -25,7 +25,7 @@
     duration first_suspension = std::chrono::milliseconds(400);
     duration longest_suspension = std::chrono::seconds(4);
     duration shed_pause = std::chrono::milliseconds(150); ///< After a refusal for want of room.
-    duration cache_life = std::chrono::seconds(60);  ///< A part that was sent is thought cached.
+    duration cache_life = std::chrono::seconds(60); ///< A part that was sent is thought cached.
     /// A part that was not used for this long may have made room for others.
     duration sure_cache = std::chrono::milliseconds(1500);
     duration change_pause = std::chrono::seconds(3); ///< A server that changes weights is avoided.
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -145,8 +145,8 @@
         settings.instance = "test";
         settings.data_centre = "dc";
         state = std::make_unique<app::forward_state>(settings);
-        services.reset(new app::forward_services{settings, loop, backends, dialect, *state, log,
-                                                 lines, measures, false});
+        services = std::make_unique<app::forward_services>(app::forward_services{
+            settings, loop, backends, dialect, *state, log, lines, measures, false});
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
                 std::make_shared<app::forward_session>(*services, exchange)->start();
@@ -171,7 +171,7 @@
         return made;
     }
 
-    void set_route(const state::forward_route& route) {
+    void set_route(const state::forward_route& route) const {
         state::forward_workspace space;
         space.name = "w";
         space.keys = {"good"};
@@ -181,7 +181,7 @@
         state->set_policy({policy, ""}, loop.now());
     }
 
-    void add(const std::string& id, const transport::address& to) {
+    void add(const std::string& id, const transport::address& to) const {
         state::fleet_server made;
         made.id = id;
         made.pool = "p";
--- a/test/forward_stress_test.cpp
+++ b/test/forward_stress_test.cpp
@@ -1,5 +1,6 @@
 #include "forward_fixture.h"
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -39,7 +40,9 @@
 /// A caller that may leave before its answer.
 class caller : public transport::backend_answer_sink, public std::enable_shared_from_this<caller> {
 public:
-    caller(std::string id, int& open) : id_(std::move(id)), open_(open) { ++open_; }
+    explicit caller(std::string id) : id_(std::move(id)) {}
+
+    bool done() const { return done_; }
 
     void begin(forward_fixture& fixture, bool leaves) {
         call_ = fixture.callers.send(fixture.at,
@@ -73,15 +76,9 @@
     bool not_run = false;
 
 private:
-    void finish() {
-        if (done_)
-            return;
-        done_ = true;
-        --open_;
-    }
+    void finish() { done_ = true; }
 
     std::string id_;
-    int& open_;
     bool done_ = false;
     std::unique_ptr<transport::backend_call> call_;
     std::unique_ptr<transport::timer> leave_;
@@ -96,15 +93,14 @@
         for (int i = 0; i < 400; ++i)
             server->script.push_back(answers()[random() % answers().size()]);
     }
-    int open = 0;
     std::vector<std::shared_ptr<caller>> all;
     for (int i = 0; i < 150; ++i) {
-        all.push_back(std::make_shared<caller>("q" + std::to_string(i), open));
+        all.push_back(std::make_shared<caller>("q" + std::to_string(i)));
         all.back()->begin(it, random() % 5 == 0);
         for (int turns = static_cast<int>(random() % 4); turns > 0; --turns)
             it.loop.turn(false);
     }
-    while (open > 0)
+    while (!std::all_of(all.begin(), all.end(), [](const auto& one) { return one->done(); }))
         it.loop.turn(true);
     std::map<std::string, int> arrivals;
     for (auto* server : {&it.first, &it.second}) {
