--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -249,16 +249,17 @@
 }
 
 std::shared_ptr<backend_connection> backend_pool::acquire(const address& to, bool reuse) {
-    auto found = idle_.find(to);
-    if (reuse && found != idle_.end()) {
-        auto& list = found->second;
-        while (!list.empty()) {
-            auto it = list.back();
-            list.pop_back();
-            if (it->is_fresh(loop_.now()))
-                return it;
+    // Closing a connection takes it off its list, and an empty list off the map.
+    for (auto found = idle_.find(to); reuse && found != idle_.end(); found = idle_.find(to)) {
+        auto it = found->second.back();
+        if (!it->is_fresh(loop_.now())) {
             it->close();
+            continue;
         }
+        found->second.pop_back();
+        if (found->second.empty())
+            idle_.erase(found);
+        return it;
     }
     return std::make_shared<backend_connection>(*this, to);
 }
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -79,6 +79,9 @@
 
     const transport::address& at() const { return at_; }
 
+    /// \brief Connections accepted so far.
+    std::size_t connections() const { return links_.size(); }
+
     std::deque<answer> script;
     std::vector<transport::http_head> requests;
 
