A stream that can't be resumed is cut and never gets a second head

Found reading the change: when a resumed stream found no server, or its key was withdrawn, refuse wrote a whole answer into the one already begun. The check stood in two of its callers; it stands in refuse now, and the copies are gone. Test: forward_session/resumed_stream_without_a_server..., which saw a second head before the change.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -115,7 +115,7 @@
 void forward_session::reply_held() {
     auto status = held_.status;
     settle(answer_failed_ ? call_end::error : call_end::answered);
-    // These two would say that the request did not run, which the server has not said.
+    // These would say that the request did not run, which the server has not said.
     bool unproven = status == 503 || status == 429 || status == 408 || status == 421;
     bool repeat = answer_failed_ && route_->rule == state::run_rule::repeatable;
     if (repeat && may_send_again()) {
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -237,11 +237,6 @@
         dispatch();
         return;
     }
-    if (exchange_->started()) {
-        exchange_->abort();
-        finish(event_id::request_refused, "stream cut: " + why);
-        return;
-    }
     refuse(may_have_run_ ? 502 : 503, why, retry_no_server_s);
 }
 
@@ -252,12 +247,8 @@
     bool sent = choice_.has_value();
     if (sent)
         settle(first_answer_seen_ ? call_end::cancelled : call_end::broken);
-    if (exchange_->started()) {
-        exchange_->abort();
-        finish(event_id::request_refused, "stream cut: its time is over");
-        return;
-    }
-    refuse(sent || may_have_run_ ? 504 : 503, "no answer in the route's time");
+    refuse(sent || may_have_run_ ? 504 : 503,
+           exchange_->started() ? "its time is over" : "no answer in the route's time");
 }
 
 void forward_session::on_caller_gone() {
@@ -278,6 +269,12 @@
                              std::optional<double> retry_after_s) {
     if (ended_)
         return;
+    if (exchange_->started()) {
+        // No second head can follow the first: the caller must see the cut.
+        exchange_->abort();
+        finish(event_id::request_refused, "stream cut: " + why);
+        return;
+    }
     if (retry_after_s && deadline_ != transport::instant())
         retry_after_s = std::max(0.0, std::min(*retry_after_s, ms_left() / 3000));
     bool repeatable_later = status == 503 || status == 429;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -57,6 +57,7 @@
     void on_time_over();
     void on_caller_gone();
     void settle(coordination::call_end how);
+    /// Answers in place of a server, or cuts an answer that has begun.
     void refuse(int status, const std::string& why, std::optional<double> retry_after_s = {});
     void finish(event_id how, const std::string& detail);
 
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -79,6 +79,12 @@
 
     const transport::address& at() const { return at_; }
 
+    /// \brief Breaks all connections off.
+    void close_all() {
+        for (auto& it : links_)
+            it->stream.reset();
+    }
+
     /// \brief Connections accepted so far.
     std::size_t connections() const { return links_.size(); }
 
--- a/test/forward_session_test.cpp
+++ b/test/forward_session_test.cpp
@@ -155,6 +155,36 @@
     cr_assert_eq(*transport::find_field(goes_on.requests.front().fields, "last"), "2");
 }
 
+Test(forward_session, resumed_stream_without_a_server_is_cut_and_gets_no_second_answer) {
+    auto route = forward_fixture::route(run_rule::stream, 3);
+    route.resumable = true;
+    forward_fixture it(route);
+    it.home_of("q1").script = {{stream_head + chunk(piece(1)) + chunk("id: 2\nda")}};
+    std::string raw;
+
+    struct : transport::tcp_stream_sink {
+        std::string* raw = nullptr;
+        bool ended = false;
+
+        void on_bytes(std::string_view bytes) override { raw->append(bytes); }
+
+        void on_end(bool /*reset*/) override { ended = true; }
+    } caller;
+
+    caller.raw = &raw;
+    transport::tcp_stream stream(it.loop, it.at, caller);
+    stream.write("POST /r/x HTTP/1.1\r\nid: q1\r\nContent-Length: 0\r\n\r\n");
+    while (raw.find("id: 1") == std::string::npos)
+        it.loop.turn(true);
+    it.state->directory.replace_all({}, it.loop.now());
+    it.first.close_all();
+    it.second.close_all();
+    while (!caller.ended && raw.find("HTTP/1.1", 1) == std::string::npos)
+        it.loop.turn(true);
+    cr_assert_eq(raw.find("HTTP/1.1", 1), std::string::npos, "%s", raw.c_str());
+    cr_assert_eq(raw.find("0\r\n\r\n"), std::string::npos, "the cut must be seen");
+}
+
 Test(forward_session, unknown_path_and_key_are_told_apart) {
     auto route = forward_fixture::route(run_rule::once, 1);
     route.keyless = false;
