--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -16,8 +16,8 @@
     if (note.running)
         router.on_load(choice_->server, *note.running, note.waiting.value_or(0),
                        services_.loop.now());
-    if (note.weights && !intent_.model.empty())
-        router.on_weights(choice_->server, intent_.model, *note.weights);
+    if (note.weights && !question_.model.empty())
+        router.on_weights(choice_->server, question_.model, *note.weights);
     if (note.not_run || note.wrong_server) {
         use_ = answer_use::reject;
         return answer_verdict::take;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -60,7 +60,9 @@
     deadline_ = exchange_->received() + std::chrono::milliseconds(limit_ms);
     pool_ = pool_of(*route_, intent_.request_id);
     question_.pool = pool_;
-    question_.model = intent_.model;
+    const auto* pool = policy_->find_pool(pool_);
+    if (pool != nullptr && !pool->models.empty())
+        question_.model = intent_.model; // a plain service has no weights to go by
     question_.parts = intent_.parts;
     question_.number = static_cast<std::int64_t>(std::hash<std::string>()(intent_.request_id));
     if (workspace_ != nullptr && workspace_->isolated)
@@ -101,7 +103,7 @@
 
 bool forward_session::place() {
     auto now = services_.loop.now();
-    if (const auto* wanted = services_.state.wanted(intent_.model)) {
+    if (const auto* wanted = services_.state.wanted(question_.model)) {
         transport::duration limit = std::chrono::milliseconds(services_.settings.weights_limit_ms *
                                                               old_weights_percent / 100);
         question_.newest_weights = wanted->known_for(new_weights_grace, now);
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -20,6 +20,7 @@
         made.request_id = transport::find_field(head.fields, "id").value_or("");
         made.host = "h";
         made.key = transport::find_field(head.fields, "key").value_or("");
+        made.model = transport::find_field(head.fields, "model").value_or("");
         if (auto ms = transport::find_field(head.fields, "deadline"))
             made.deadline_ms = std::stoll(*ms);
         if (made.request_id.empty()) {
--- a/test/forward_session_test.cpp
+++ b/test/forward_session_test.cpp
@@ -230,3 +230,10 @@
         cr_assert_eq(it.ask({{"id", "q" + std::to_string(i)}}).status, 200);
     }
 }
+
+Test(forward_session, model_that_a_plain_service_does_not_serve_has_no_say_in_placement) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 1));
+    it.state->weights["m"].learn(4, it.loop.now() - std::chrono::minutes(1), true);
+    it.script({good});
+    cr_assert_eq(it.ask({{"id", "q1"}, {"model", "m"}}).status, 200);
+}
