check, status and explain on the platform; settings change without a signal

check tells a settings file or the operator's configuration by line, field and rule: the decoder of the configuration reports every fault and no longer the first exception's text. status shows who gives orders and, of each limit, what is left, the usable part and what was spent; explain tells the steps of one of the last 2,000 requests. The settings file is compared each second; seeds and retry bounds change while the process runs, and a bad file is logged and changes nothing.

A server whose connections are all taken, by all instances together, gets no further request: one more would be reset (fleet_router/server_whose_connections_are_all_taken_gets_no_more).

The retry budget forgets requests also when nothing is repeated; it kept each one for ever (service_retry_budget/requests_of_the_past_are_forgotten_also_without_repeats).

--- a/azureyoke/src/app/commands.cpp
+++ b/azureyoke/src/app/commands.cpp
@@ -13,6 +13,7 @@
 
 #include "azureyoke/src/app/apply_run.h"
 #include "azureyoke/src/app/audit_run.h"
+#include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/app/instance.h"
 
 DEFINE_string(settings, "", "file of process settings, JSON with comments (serve)");
@@ -116,7 +117,44 @@
     return read_file_document{std::move(*text), std::move(*doc)};
 }
 
+template <class Parse>
+std::vector<state::error> faults_of(const std::string& text, Parse parse) {
+    auto parsed = parse(text);
+    return parsed ? std::vector<state::error>() : parsed.error();
+}
+
+std::vector<checked_file>& checked_files() {
+    static std::vector<checked_file> list = {
+        {"settings of route", [](const auto& root) { return root.contains("registry"); },
+         [](const auto& text) { return faults_of(text, parse_forward_settings); }},
+        {"settings of serve", [](const auto& root) { return root.contains("platform"); },
+         [](const auto& text) { return faults_of(text, parse_settings); }}};
+    return list;
+}
+
+/// \returns the kind of a file that is no document, by its fields; null for a document.
+const checked_file* kind_of(const std::string& text) {
+    auto root = nlohmann::json::parse(text, nullptr, false, true);
+    if (!root.is_object())
+        return nullptr;
+    for (const auto& it : checked_files()) {
+        if (it.recognizes(root))
+            return &it;
+    }
+    return nullptr;
+}
+
 exit_code check(const std::vector<std::string>& words) {
+    auto text = words.size() == 1 ? read_file(words[0]) : std::nullopt;
+    const auto* kind = text ? kind_of(*text) : nullptr;
+    if (kind != nullptr) {
+        auto faults = kind->faults(*text);
+        print_faults(words[0], faults);
+        if (!faults.empty())
+            return exit_code::bad_input;
+        std::cout << words[0] << ": valid " << kind->name << "\n";
+        return exit_code::ok;
+    }
     auto read = read_document("check", words);
     if (!read)
         return read.error();
@@ -211,7 +249,8 @@
         std::map<std::string, command> made;
         for (const auto& it : std::vector<command>{
                  {"serve", "serve --settings FILE", "run an instance until SIGTERM", serve},
-                 {"check", "check DOCUMENT", "validate a document offline", check},
+                 {"check", "check FILE", "validate a document, settings or a configuration offline",
+                  check},
                  {"apply", "apply --platform IP:PORT DOCUMENT", "write a document to the platform",
                   apply},
                  {"status", "status --operators IP:PORT", "show an instance", status},
@@ -231,6 +270,10 @@
 } // namespace
 } // namespace internal
 
+void add_checked_file(checked_file added) {
+    internal::checked_files().push_back(std::move(added));
+}
+
 void add_command(command added) {
     auto name = added.name;
     internal::commands().insert_or_assign(name, std::move(added));
--- a/azureyoke/src/app/commands.h
+++ b/azureyoke/src/app/commands.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "azureyoke/src/app/exit_code.h"
+#include "azureyoke/src/state/json_reader.h"
 
 namespace azureyoke::app {
 
@@ -20,6 +21,16 @@
 /// \brief Adds a command to the program's own. Call before `run_command`.
 void add_command(command added);
 
+/// \brief A kind of file that `check` knows beside the product's documents.
+struct checked_file {
+    std::string name;                                           ///< As in "settings of route".
+    std::function<bool(const nlohmann::json& root)> recognizes; ///< By its fields.
+    std::function<std::vector<state::error>(const std::string& text)> faults;
+};
+
+/// \brief Adds a kind of file to those that `check` knows. Call before `run_command`.
+void add_checked_file(checked_file added);
+
 /// \returns the whole content of a file, or nothing when it can't be read.
 std::optional<std::string> read_file(const std::string& name);
 
--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -24,6 +24,7 @@
         {event_id::loop_stalled, "loop_stalled"},
         {event_id::drain_finished, "drain_finished"},
         {event_id::settings_reloaded, "settings_reloaded"},
+        {event_id::settings_refused, "settings_refused"},
         {event_id::configuration_accepted, "configuration_accepted"},
         {event_id::configuration_refused, "configuration_refused"},
         {event_id::platform_unreachable, "platform_unreachable"},
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -14,6 +14,7 @@
     loop_stalled = 1005,
     drain_finished = 1006,
     settings_reloaded = 1007,
+    settings_refused = 1008,
     configuration_accepted = 2001,
     configuration_refused = 2002,
     platform_unreachable = 2003,
--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -59,6 +59,7 @@
     auto now = services_.loop.now();
     services_.state.router.on_first_answer(*choice_, now - sent_at_, now);
     first_answer_ms_ = coordination::to_seconds(now - sent_at_) * 1000;
+    note("first part of an answer");
     services_.measures.observe(measure::first_token, "pool", pool_,
                                coordination::to_seconds(now - exchange_->received()));
 }
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -1,7 +1,5 @@
 #include "azureyoke/src/app/forward_instance.h"
 
-#include <nlohmann/json.hpp>
-
 #include "azureyoke/src/app/wall_clock.h"
 #include "azureyoke/src/transport/backend_fetch.h"
 
@@ -12,6 +10,8 @@
 
 /// Of each kind of event about requests, so that refusals are not crowded out by successes.
 constexpr int lines_per_second = 50;
+/// Requests that `azureyoke explain` can tell about.
+constexpr std::size_t most_traces = 2000;
 constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
 /// A policy that peers have is waited for from the registry first.
 constexpr transport::duration policy_patience = std::chrono::milliseconds(150);
@@ -42,9 +42,9 @@
                                    forward_world world)
     : loop_(loop), settings_(std::move(settings)), world_(world),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
-      lines_(internal::lines_per_second), backends_(loop, {}),
+      lines_(internal::lines_per_second), history_(internal::most_traces), backends_(loop, {}),
       state_(settings_), services_{settings_, loop_,  backends_, world_.dialect, state_,
-                                   log_,      lines_, metrics_,  false},
+                                   log_,      lines_, metrics_,  history_,       false},
       peers_(
           loop, settings_, world_.records, log_, [this] { return report(); },
           [this](const auto& it) { on_peer_report(it); }),
@@ -58,7 +58,12 @@
           [this](const auto& exchange) {
               exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
           }),
-      operators_(loop, {}, [this](const auto& exchange) { on_operator_request(exchange); }) {}
+      pages_({settings_, loop_, metrics_, history_, state_, peers_, weights_,
+              [this] { return ready(); }, [this] { return draining_; },
+              [this] { return registry_reachable_; }}),
+      operators_(loop, {}, [this](const auto& exchange) {
+          exchange->reply(pages_.page(transport::path_of(exchange->head().target)));
+      }) {}
 
 forward_instance::~forward_instance() = default;
 
@@ -275,52 +280,22 @@
     drain_timer_ = loop_.after(internal::drain_check_period, [this] { loop_.stop(); });
 }
 
-void forward_instance::reload(const forward_settings& settings) {
-    bool same = settings == settings_;
-    settings_.drain_limit_ms = settings.drain_limit_ms;
-    settings_.weights_limit_ms = settings.weights_limit_ms;
-    log_.write(event_id::settings_reloaded, {{"changed", same ? "no" : "yes"}});
-}
-
-void forward_instance::on_operator_request(
-    const std::shared_ptr<transport::front_exchange>& exchange) {
-    auto path = transport::path_of(exchange->head().target);
-    if (path == "/policy" && state_.policy.policy != nullptr)
-        exchange->reply({200, {{"Content-Type", "application/json"}}, state_.policy.text});
-    else if (path == "/metrics")
-        exchange->reply({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.render()});
-    else if (path == "/status")
-        exchange->reply({200, {{"Content-Type", "application/json"}}, status_page()});
-    else
-        exchange->reply({404, {}, "no page has this path\n"});
-}
-
-std::string forward_instance::status_page() const {
-    auto now = loop_.now();
-    nlohmann::ordered_json page;
-    page["instance"] = settings_.instance;
-    page["data_centre"] = settings_.data_centre;
-    page["ready"] = ready();
-    page["draining"] = draining_;
-    page["policy"] = state_.policy.policy ? state_.policy.policy->version() : 0;
-    page["policy_may_be_old"] = state_.policy_may_be_old;
-    page["registry_reachable"] = registry_reachable_;
-    page["instances"] = peers_.live(now);
-    page["holds_weights_lease"] = weights_.holds_lease();
-    for (const auto& [model, it] : state_.weights)
-        page["weights"][model] = it.version;
-    for (const auto& [id, it] : state_.directory.all()) {
-        auto& row = page["backend_servers"][id];
-        row["pool"] = it.pool;
-        row["address"] = it.address;
-        row["leaving"] = it.leaving;
-        row["in_flight"] = state_.router.in_flight(id);
-        for (const auto& [model, version] : it.models)
-            row["weights"][model] = state_.router.weights_of(state_.directory, id, model);
+void forward_instance::reload(const std::string& text) {
+    auto settings = parse_forward_settings(text);
+    if (!settings) {
+        std::string why;
+        for (const auto& it : settings.error())
+            why += (why.empty() ? "" : "; ") + state::to_string(it);
+        log_.warn(event_id::settings_refused, {{"why", why}});
+        return;
     }
-    for (const auto& [name, it] : state_.limits)
-        page["spent"][name] = it.spent();
-    return page.dump() + "\n";
+    bool same = *settings == settings_;
+    settings_.drain_limit_ms = settings->drain_limit_ms;
+    settings_.weights_limit_ms = settings->weights_limit_ms;
+    settings_.seeds = settings->seeds;
+    peers_.add_seeds(settings_.seeds);
+    state_.set_retries(*settings);
+    log_.write(event_id::settings_reloaded, {{"changed", same ? "no" : "yes"}});
 }
 
 } // namespace azureyoke::app
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "azureyoke/src/app/forward_pages.h"
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/app/peer_board.h"
 #include "azureyoke/src/app/weights_service.h"
@@ -33,8 +34,9 @@
     transport::result<void> start();
     /// \brief Begins a graceful shutdown; the loop stops once every request has ended.
     void drain();
-    /// \brief The settings file has changed. Addresses stay as they are while the process runs.
-    void reload(const forward_settings& settings);
+    /// \brief The settings file may have changed. Settings that are not valid change nothing; own
+    /// addresses and the registry's stay as they are while the process runs.
+    void reload(const std::string& text);
 
 private:
     void on_policy(const policy_copy& copy) override;
@@ -47,8 +49,6 @@
     void on_unreadable(const std::string& row, const std::string& why) override;
     void on_registry(bool reachable, const std::string& why) override;
 
-    void on_operator_request(const std::shared_ptr<transport::front_exchange>& exchange);
-    std::string status_page() const;
     peer_report report();
     void on_peer_report(const peer_report& report);
     void fetch_policy();
@@ -63,6 +63,7 @@
     event_log log_;
     line_budget lines_;
     metrics metrics_;
+    request_history history_;
     transport::backend_pool backends_;
     forward_state state_;
     forward_services services_;
@@ -70,6 +71,7 @@
     weights_service weights_;
     transport::front_server callers_;
     transport::front_server readiness_;
+    forward_pages pages_;
     transport::front_server operators_;
     std::unique_ptr<transport::timer> housekeeping_timer_;
     std::unique_ptr<transport::timer> policy_timer_;
--- /dev/null
+++ b/azureyoke/src/app/forward_pages.cpp
@@ -0,0 +1,85 @@
+#include "azureyoke/src/app/forward_pages.h"
+
+#include <nlohmann/json.hpp>
+
+#include "azureyoke/src/app/trace_page.h"
+
+namespace azureyoke::app {
+
+using nlohmann::ordered_json;
+using transport::http_response;
+
+namespace internal {
+namespace {
+
+const transport::http_fields json_fields = {{"Content-Type", "application/json"}};
+
+ordered_json shares_of(forward_state& state, transport::instant now) {
+    ordered_json list = ordered_json::object();
+    for (auto& [name, it] : state.limits) {
+        list[name] = {{"rate", it.rate()},
+                      {"burst", it.burst()},
+                      {"available", it.available(now)},
+                      {"usable_part", it.usable_part()},
+                      {"spent_here", it.spent()}};
+    }
+    return list;
+}
+
+ordered_json servers_of(const forward_state& state) {
+    ordered_json list = ordered_json::object();
+    for (const auto& [id, it] : state.directory.all()) {
+        auto& row = list[id];
+        row["pool"] = it.pool;
+        row["address"] = it.address;
+        row["leaving"] = it.leaving;
+        row["in_flight"] = state.router.in_flight(id);
+        for (const auto& [model, version] : it.models)
+            row["weights"][model] = state.router.weights_of(state.directory, id, model);
+    }
+    return list;
+}
+
+} // namespace
+} // namespace internal
+
+http_response forward_pages::page(std::string_view path) const {
+    constexpr std::string_view explain_path = "/explain/";
+    const auto& policy = sources_.state.policy;
+    if (path == "/policy" && policy.policy != nullptr)
+        return {200, internal::json_fields, policy.text};
+    if (path == "/metrics")
+        return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, sources_.metrics.render()};
+    if (path == "/status")
+        return {200, internal::json_fields, status()};
+    if (path.starts_with(explain_path))
+        return trace_page(sources_.history, std::string(path.substr(explain_path.size())));
+    return {404, {}, "no page has this path\n"};
+}
+
+std::string forward_pages::status() const {
+    auto now = sources_.loop.now();
+    auto& state = sources_.state;
+    ordered_json page;
+    page["instance"] = sources_.settings.instance;
+    page["data_centre"] = sources_.settings.data_centre;
+    page["ready"] = sources_.ready();
+    page["draining"] = sources_.draining();
+    page["policy"] = state.policy.policy ? state.policy.policy->version() : 0;
+    page["policy_may_be_old"] = state.policy_may_be_old;
+    page["registry_reachable"] = sources_.registry_reachable();
+    page["instances"] = sources_.peers.live(now);
+    page["holds_weights_lease"] = sources_.weights.holds_lease();
+    auto holder = sources_.peers.lease_holder(now);
+    if (sources_.weights.holds_lease())
+        holder = sources_.settings.instance;
+    page["gives_orders"] = holder ? ordered_json(*holder) : ordered_json();
+    page["weights"] = ordered_json::object();
+    for (const auto& [model, it] : state.weights)
+        page["weights"][model] = it.version;
+    page["backend_servers"] = internal::servers_of(state);
+    page["limits"] = internal::shares_of(state, now);
+    return page.dump() + "\n";
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/forward_pages.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "azureyoke/src/app/forward_state.h"
+#include "azureyoke/src/app/peer_board.h"
+#include "azureyoke/src/app/weights_service.h"
+#include "azureyoke/src/transport/http_message.h"
+
+namespace azureyoke::app {
+
+/// \brief What the pages of a forwarding instance show. Everything must outlive the pages.
+struct forward_page_sources {
+    const forward_settings& settings;
+    const transport::event_loop& loop;
+    const app::metrics& metrics;
+    const request_history& history;
+    forward_state& state;
+    const peer_board& peers;
+    const weights_service& weights;
+    std::function<bool()> ready;
+    std::function<bool()> draining;
+    std::function<bool()> registry_reachable;
+};
+
+/// \brief Renders the pages of a forwarding instance's operator address. Not thread safe.
+class forward_pages {
+public:
+    explicit forward_pages(forward_page_sources sources) : sources_(std::move(sources)) {}
+
+    /// \returns the page under `path`, or an answer with status 404.
+    transport::http_response page(std::string_view path) const;
+
+private:
+    std::string status() const;
+
+    forward_page_sources sources_;
+};
+
+} // namespace azureyoke::app
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -63,6 +63,7 @@
     const auto* pool = policy_->find_pool(pool_);
     if (pool != nullptr && !pool->models.empty())
         question_.model = intent_.model; // a plain service has no weights to go by
+    question_.most_connections = pool == nullptr ? 0 : pool->most_connections;
     question_.parts = intent_.parts;
     question_.number = static_cast<std::int64_t>(std::hash<std::string>()(intent_.request_id));
     if (workspace_ != nullptr && workspace_->isolated)
@@ -194,6 +195,9 @@
     last_server_ = choice_->server;
     last_estimate_ms_ = choice_->first_answer_ms;
     last_new_tokens_ = choice_->new_tokens;
+    note("sent to " + last_server_ + " for " + std::to_string(last_new_tokens_) +
+         " prompt tokens to read, first answer expected in " +
+         std::to_string(std::lround(last_estimate_ms_)) + " ms");
     services_.state.router.on_sent(question_, *choice_, sent_at_);
     call_ = services_.backends.send(*to, request, true, shared_from_this());
 }
@@ -229,6 +233,7 @@
 }
 
 void forward_session::try_again(const std::string& why) {
+    note(last_server_ + ": " + why);
     std::int64_t left_out = 0;
     if (services_.lines.take(event_id::attempt_failed, services_.loop.now(), left_out))
         services_.log.warn(event_id::attempt_failed, {{"request", intent_.request_id},
@@ -287,10 +292,18 @@
     finish(event_id::request_refused, std::to_string(status) + ": " + why);
 }
 
+void forward_session::note(std::string what) {
+    auto at = services_.loop.now() - exchange_->received();
+    steps_.push_back({at.count(), std::move(what)});
+}
+
 void forward_session::finish(event_id how, const std::string& detail) {
     if (ended_)
         return;
     ended_ = true;
+    note(detail);
+    services_.history.add({intent_.request_id, workspace_ == nullptr ? "" : workspace_->name,
+                           route_ == nullptr ? "" : route_->name, std::move(steps_)});
     time_over_.reset();
     call_.reset();
     auto* limit = workspace_ == nullptr ? nullptr : services_.state.limit(workspace_->name);
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "azureyoke/src/app/forward_state.h"
 #include "azureyoke/src/coordination/event_relay.h"
@@ -60,6 +61,8 @@
     /// Answers in place of a server, or cuts an answer that has begun.
     void refuse(int status, const std::string& why, std::optional<double> retry_after_s = {});
     void finish(event_id how, const std::string& detail);
+    /// Remembers what happened, for `azureyoke explain`.
+    void note(std::string what);
 
     double ms_left() const;
 
@@ -90,6 +93,7 @@
     bool answer_failed_ = false; ///< The answer under way is a failure of the server's own.
     bool may_have_run_ = false;
     bool ended_ = false;
+    std::vector<history_step> steps_;
 };
 
 } // namespace azureyoke::app
--- a/azureyoke/src/app/forward_state.cpp
+++ b/azureyoke/src/app/forward_state.cpp
@@ -49,6 +49,12 @@
     return retries_.try_emplace(pool, retry_settings_).first->second;
 }
 
+void forward_state::set_retries(const forward_settings& settings) {
+    retry_settings_ = internal::retry_settings_of(settings);
+    for (auto& [pool, it] : retries_)
+        it.set(retry_settings_);
+}
+
 coordination::fleet_limit* forward_state::limit(const std::string& workspace) {
     auto found = limits.find(workspace);
     return found == limits.end() ? nullptr : &found->second;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -11,6 +11,7 @@
 #include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/app/line_budget.h"
 #include "azureyoke/src/app/metrics.h"
+#include "azureyoke/src/app/request_history.h"
 #include "azureyoke/src/coordination/fleet_directory.h"
 #include "azureyoke/src/coordination/fleet_limit.h"
 #include "azureyoke/src/coordination/fleet_router.h"
@@ -62,6 +63,8 @@
 
     void set_policy(const policy_copy& copy, transport::instant now);
     coordination::service_retry_budget& retries(const std::string& pool);
+    /// \brief Changes the bounds of repeats; what was counted stays.
+    void set_retries(const forward_settings& settings);
     /// \returns the limit of a workspace, or null when it has none.
     coordination::fleet_limit* limit(const std::string& workspace);
     void set_members(int all, int silent, transport::instant now);
@@ -92,6 +95,7 @@
     const event_log& log;
     line_budget& lines;
     metrics& measures;
+    request_history& history;
     bool refuse_all = false; ///< The instance is about to end.
 };
 
--- a/azureyoke/src/app/operator_pages.cpp
+++ b/azureyoke/src/app/operator_pages.cpp
@@ -1,5 +1,7 @@
 #include "azureyoke/src/app/operator_pages.h"
 
+#include "azureyoke/src/app/trace_page.h"
+
 #include <nlohmann/json.hpp>
 
 namespace azureyoke::app {
@@ -43,13 +45,7 @@
         return {200, {{"Content-Type", "application/json"}}, status_json()};
     if (!path.starts_with(explain_path))
         return {404, {}, "no such operator path\n"};
-    const auto* trace = sources_.history.find(std::string(path.substr(explain_path.size())));
-    if (trace == nullptr)
-        return {404,
-                {{"Content-Type", "application/json"}},
-                R"({"error":"no such request on this instance"})"
-                "\n"};
-    return {200, {{"Content-Type", "application/json"}}, explain_json(*trace)};
+    return trace_page(sources_.history, std::string(path.substr(explain_path.size())));
 }
 
 std::string operator_pages::status_json() const {
@@ -101,14 +97,4 @@
     return list;
 }
 
-std::string operator_pages::explain_json(const request_trace& trace) {
-    json body = {{"request_id", trace.request_id},
-                 {"workspace", trace.workspace},
-                 {"target", trace.target},
-                 {"steps", json::array()}};
-    for (const auto& it : trace.steps)
-        body["steps"].push_back({{"at_us", it.at_us}, {"what", it.what}});
-    return body.dump() + "\n";
-}
-
 } // namespace azureyoke::app
--- a/azureyoke/src/app/operator_pages.h
+++ b/azureyoke/src/app/operator_pages.h
@@ -46,7 +46,6 @@
     std::string status_json() const;
     nlohmann::json documents() const;
     nlohmann::json replicas() const;
-    static std::string explain_json(const request_trace& trace);
 
     operator_sources sources_;
 };
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -27,10 +27,16 @@
     : loop_(loop), settings_(settings), records_(records), log_(log), source_(std::move(source)),
       on_report_(std::move(on_report)),
       socket_(loop, [this](std::string_view bytes) { on_datagram(bytes); }) {
+    add_seeds(settings.seeds);
+}
+
+void peer_board::add_seeds(const std::vector<transport::address>& seeds) {
     // All instances use the same ports.
-    for (const auto& it : settings.seeds) {
-        transport::address at{it.ip, settings.peers.port};
-        if (at != settings.peers)
+    for (const auto& it : seeds) {
+        transport::address at{it.ip, settings_.peers.port};
+        bool known = std::any_of(peers_.begin(), peers_.end(),
+                                 [&](const auto& entry) { return entry.second.at == at; });
+        if (at != settings_.peers && !known)
             seeds_.insert(at);
     }
 }
@@ -178,15 +184,12 @@
     return names;
 }
 
-bool peer_board::lease_holder_heard(transport::instant now) const {
-    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return it.second.last.holds_lease && now - it.second.heard <= internal::silence;
-    });
-}
-
-bool peer_board::any_heard(transport::instant now) const {
-    return std::any_of(peers_.begin(), peers_.end(),
-                       [&](const auto& it) { return now - it.second.heard <= internal::silence; });
+std::optional<std::string> peer_board::lease_holder(transport::instant now) const {
+    for (const auto& [name, it] : peers_) {
+        if (it.last.holds_lease && now - it.heard <= internal::silence)
+            return name;
+    }
+    return std::nullopt;
 }
 
 std::optional<transport::address> peer_board::holder_of_newer_policy(std::int64_t version,
--- a/azureyoke/src/app/peer_board.h
+++ b/azureyoke/src/app/peer_board.h
@@ -34,6 +34,8 @@
                const event_log& log, report_source source, report_handler on_report);
 
     transport::result<transport::address> start();
+    /// \brief Operator addresses of instances that may not have been heard yet.
+    void add_seeds(const std::vector<transport::address>& seeds);
     /// \brief Sends a report to all peers now.
     void send_now();
     /// \brief Takes this instance off the list; peers stop counting it.
@@ -44,8 +46,8 @@
     std::vector<std::string> live(transport::instant now) const;
     /// \brief Those of `live` that reach the registry; this instance always counts.
     std::vector<std::string> able(transport::instant now) const;
-    bool lease_holder_heard(transport::instant now) const;
-    bool any_heard(transport::instant now) const;
+    /// \brief The instance that lately said that it gives the orders.
+    std::optional<std::string> lease_holder(transport::instant now) const;
     /// \brief Operator addresses from which a newer policy than `version` can be read.
     std::optional<transport::address> holder_of_newer_policy(std::int64_t version,
                                                              transport::instant now) const;
--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -58,7 +58,7 @@
 bool weights_service::my_turn(transport::instant now) {
     if (holds_lease())
         return true;
-    if (peers_.lease_holder_heard(now))
+    if (peers_.lease_holder(now))
         return false;
     return now - work_since_ >= internal::turn * place(now);
 }
--- a/azureyoke/src/coordination/fleet_limit.h
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -41,6 +41,19 @@
     /// \brief Seconds until `cost` can be spent, if nobody else spends.
     double seconds_until(double cost, instant now);
 
+    double rate() const { return rate_; }
+
+    double burst() const { return burst_; }
+
+    /// \brief What may be spent now; below 0 while a large request is paid off.
+    double available(instant now) {
+        refill(now);
+        return level_;
+    }
+
+    /// \brief Part of the rate that is not held back for silent members.
+    double usable_part() const { return heard_share_; }
+
     /// \brief What this instance has spent since its start.
     double spent() const { return spent_; }
 
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -90,6 +90,9 @@
             question.excluded.end())
             continue;
         const auto& view = views_[it->id];
+        int connections = view.own.in_flight + view.peers.in_flight;
+        if (question.most_connections > 0 && connections >= question.most_connections)
+            continue; // one more would be reset
         candidate made;
         made.server = it;
         made.weights = question.model.empty() ? 0 : weights_of(directory, it->id, question.model);
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -49,6 +49,7 @@
     std::vector<std::string> excluded;     ///< Servers that failed it.
     std::int64_t newest_weights = 0;       ///< Worth preferring; 0: none are.
     std::int64_t oldest_weights = 0;       ///< Older ones may serve it no more.
+    int most_connections = 0;              ///< Of each server, from all instances; 0: any.
     std::int64_t number = 0;               ///< Spreads requests without parts.
 
     friend bool operator==(const placement_question&, const placement_question&) = default;
--- a/azureyoke/src/coordination/service_retry_budget.h
+++ b/azureyoke/src/coordination/service_retry_budget.h
@@ -24,7 +24,15 @@
 public:
     explicit service_retry_budget(const service_retry_settings& settings) : settings_(settings) {}
 
-    void on_request(instant now) { requests_.push_back(now); }
+    void set(const service_retry_settings& settings) { settings_ = settings; }
+
+    void on_request(instant now) {
+        expire(requests_, now);
+        requests_.push_back(now);
+    }
+
+    /// \brief Requests that are still counted.
+    std::size_t counted_requests() const { return requests_.size(); }
 
     /// \brief Takes one repeat. `instances` is the number of instances that share the reserve.
     bool take(int instances, instant now) {
--- a/azureyoke/src/state/json_reader.cpp
+++ b/azureyoke/src/state/json_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <sstream>
 
 namespace azureyoke::state {
 
@@ -131,6 +132,12 @@
     std::vector<level> levels_;
 };
 
+std::string short_text(double value) {
+    std::ostringstream out;
+    out << value;
+    return out.str();
+}
+
 } // namespace
 } // namespace internal
 
@@ -216,7 +223,8 @@
     bool fits = value->is_number() && value->get<double>() >= low && value->get<double>() <= high;
     if (!fits) {
         fault(field,
-              "must be a number from " + std::to_string(low) + " to " + std::to_string(high));
+              "must be a number from " + internal::short_text(low) + " to " +
+                  internal::short_text(high));
         return fallback;
     }
     return value->get<double>();
@@ -247,6 +255,13 @@
     return value->get<std::vector<std::string>>();
 }
 
+std::optional<field_reader> field_reader::object(const std::string& field) {
+    const auto* value = find(field, false);
+    if (value == nullptr)
+        return std::nullopt;
+    return field_reader(text_, *value, path_ + "/" + field, faults_);
+}
+
 std::vector<field_reader> field_reader::objects(const std::string& field, bool required) {
     std::vector<field_reader> list;
     const auto* value = find(field, required);
--- a/azureyoke/src/state/json_reader.h
+++ b/azureyoke/src/state/json_reader.h
@@ -38,6 +38,14 @@
     double number(const std::string& field, double low, double high, double fallback);
     bool boolean(const std::string& field, bool fallback);
     std::vector<std::string> texts(const std::string& field);
+    /// \brief A reader of the object `field`; nothing when there is none.
+    std::optional<field_reader> object(const std::string& field);
+
+    /// \brief Whether the object has `field`.
+    bool has(const std::string& field) const {
+        return object_.is_object() && object_.contains(field);
+    }
+
     /// \brief One reader for each object of the array `field`.
     std::vector<field_reader> objects(const std::string& field, bool required);
 
--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -1,5 +1,6 @@
 #include "azureyoke/src/coordination/fleet_router.h"
 
+#include <map>
 #include <set>
 
 #include <criterion/criterion.h>
@@ -224,3 +225,20 @@
     it.router.forget("s0");
     cr_assert_eq(it.router.in_flight("s0"), 1);
 }
+
+Test(fleet_router, server_whose_connections_are_all_taken_gets_no_more) {
+    router_fixture it(2);
+    auto question = router_fixture::prompt("x");
+    question.most_connections = 3;
+    std::map<std::string, int> sent;
+    for (int i = 0; i < 6; ++i)
+        ++sent[it.send(question, start).server];
+    cr_assert_eq(sent["s0"], 3);
+    cr_assert_eq(sent["s1"], 3);
+    cr_assert_not(it.router.choose(it.directory, question, start).has_value());
+    // What peers have open counts as well, and what has ended no more.
+    it.router.on_end({"s0", 0, 0, 1, false, {}, false}, call_end::answered, start);
+    cr_assert(it.router.choose(it.directory, question, start).has_value());
+    it.router.on_peer_work("peer", {{"s0", {1, 0}}}, start);
+    cr_assert_not(it.router.choose(it.directory, question, start).has_value());
+}
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -144,6 +144,7 @@
     app::event_log log{"test"};
     app::line_budget lines{0};
     app::metrics measures;
+    app::request_history history{100};
     transport::backend_pool backends{loop, {}};
     transport::backend_pool callers{loop, {}};
     std::unique_ptr<app::forward_state> state;
@@ -156,7 +157,7 @@
         settings.data_centre = "dc";
         state = std::make_unique<app::forward_state>(settings);
         services = std::make_unique<app::forward_services>(app::forward_services{
-            settings, loop, backends, dialect, *state, log, lines, measures, false});
+            settings, loop, backends, dialect, *state, log, lines, measures, history, false});
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
                 std::make_shared<app::forward_session>(*services, exchange)->start();
--- a/test/service_retry_budget_test.cpp
+++ b/test/service_retry_budget_test.cpp
@@ -47,3 +47,13 @@
     cr_assert_geq(taken, 3);
     cr_assert_leq(taken, 7);
 }
+
+Test(service_retry_budget, requests_of_the_past_are_forgotten_also_without_repeats) {
+    service_retry_budget budget({});
+    constexpr int requests_per_second = 100;
+    for (int i = 0; i < 600 * requests_per_second; ++i)
+        budget.on_request(start + duration(std::chrono::seconds(1)) * i / requests_per_second);
+    auto window = service_retry_settings{}.window / std::chrono::seconds(1);
+    cr_assert_leq(budget.counted_requests(),
+                  static_cast<std::size_t>(window * requests_per_second + 1));
+}
