--- a/azureyoke/src/protocol/caller_request.cpp
+++ b/azureyoke/src/protocol/caller_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <sstream>
 #include <vector>
 
@@ -40,10 +41,45 @@
     return keys;
 }
 
+/// Whether `key` stands in a string or name of a JSON body that is spelled with escapes.
+bool stands_escaped(const std::string& body, const std::string& key) {
+    // Without one of these no spelling differs from the plain one.
+    bool escapes = body.find("\\u") != std::string::npos || body.find("\\/") != std::string::npos ||
+                   key.find_first_of("\"\\") != std::string::npos;
+    if (!escapes)
+        return false;
+    bool found = false;
+    auto look = [&](int /*depth*/, nlohmann::json::parse_event_t event, nlohmann::json& value) {
+        bool text = event == nlohmann::json::parse_event_t::key ||
+                    event == nlohmann::json::parse_event_t::value;
+        if (text && value.is_string())
+            found = found || value.get_ref<const std::string&>().find(key) != std::string::npos;
+        return true;
+    };
+    // What follows a fault of the text is no JSON, which no backend server would decode.
+    [[maybe_unused]] auto parsed = nlohmann::json::parse(body, look, false);
+    return found;
+}
+
+/// The target with its percent escapes replaced.
+std::string decoded(const std::string& target) {
+    std::string made;
+    for (std::size_t i = 0; i < target.size(); ++i) {
+        unsigned value = 0;
+        const char* first = target.data() + i + 1;
+        bool escape = target[i] == '%' && i + 2 < target.size() &&
+                      std::from_chars(first, first + 2, value, 16).ptr == first + 2;
+        made += escape ? static_cast<char>(value) : target[i];
+        i += escape ? 2 : 0;
+    }
+    return made;
+}
+
 bool stands_elsewhere(const transport::http_request& request, const std::string& key) {
-    if (request.target.find(key) != std::string::npos)
+    if (request.target.find(key) != std::string::npos ||
+        decoded(request.target).find(key) != std::string::npos)
         return true;
-    if (request.body.find(key) != std::string::npos)
+    if (request.body.find(key) != std::string::npos || stands_escaped(request.body, key))
         return true;
     return std::any_of(request.fields.begin(), request.fields.end(), [&](const auto& it) {
         bool key_field = transport::equal_names(it.name, "x-api-key") ||
--- a/azureyoke/src/transport/http_server.cpp
+++ b/azureyoke/src/transport/http_server.cpp
@@ -200,6 +200,9 @@
 
 http_server::http_server(event_loop& loop, const http_server_limits& limits, handler on_request)
     : loop_(loop), on_request_(std::move(on_request)), http_(evhttp_new(loop.base())) {
+    // Bodies over the limit are read to their end and dropped: a client that is still sending would
+    // see a reset in place of its 413.
+    evhttp_set_flags(http_, EVHTTP_SERVER_LINGERING_CLOSE);
     evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(limits.header_bytes));
     evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.body_bytes));
     evhttp_set_timeout(http_, static_cast<int>(limits.read_timeout.count()));
--- a/bench/routing_world.cpp
+++ b/bench/routing_world.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "bench/routing_replica.h"
 #include "standin/quantile.h"
 
 namespace azureyoke::bench {
@@ -13,12 +14,8 @@
 namespace internal {
 namespace {
 
-constexpr std::int64_t piece_tokens = 2000;
 constexpr const char* model_name = "m";
 constexpr double decode_seconds_per_token = 0.02;
-/// Each running stream takes this part of a replica's prompt speed.
-constexpr double decode_share = 0.01;
-constexpr double least_prompt_share = 0.4;
 constexpr double restart_seconds = 2;
 constexpr double event_lag_seconds = 0.3;
 constexpr double report_period_seconds = 0.25;
@@ -32,105 +29,6 @@
 } // namespace
 } // namespace internal
 
-routing_workload kopi_kavi() {
-    routing_workload it;
-    it.name = "kopi-kavi";
-    it.replica_speeds = {24'000, 24'000, 24'000, 24'000, 24'000, 24'000,
-                         9'000,  9'000,  9'000,  9'000,  9'000,  9'000};
-    it.workspace_shares = {0.45, 0.3, 0.15, 0.06, 0.04};
-    it.requests_per_second = 24;
-    it.cache_pieces = 160;
-    it.sections = 24;
-    it.dossiers = 12;
-    it.zipf = 1.0;
-    it.far_seconds = 0.0005;
-    return it;
-}
-
-routing_workload tafaul() {
-    routing_workload it;
-    it.name = "tafaul";
-    it.replica_speeds = {20'000, 20'000, 20'000, 20'000, 8'000, 8'000, 8'000, 8'000, 8'000};
-    it.workspace_shares = {0.35, 0.3, 0.2, 0.1, 0.05};
-    it.requests_per_second = 8;
-    it.cache_pieces = 400;
-    it.sections = 12;
-    it.dossiers = 40;
-    it.zipf = 0.9;
-    it.root_pieces = 3;
-    it.section_pieces = 2;
-    it.dossier_pieces = 5;
-    it.most_tail_tokens = 600;
-    it.most_output_tokens = 80;
-    it.far_seconds = 0.0015;
-    return it;
-}
-
-const char* name_of(bench_policy policy) {
-    switch (policy) {
-    case bench_policy::round_robin:
-        return "round_robin";
-    case bench_policy::least_loaded:
-        return "least_loaded";
-    case bench_policy::prefix_hash:
-        return "prefix_hash";
-    case bench_policy::longest_match:
-        return "longest_match";
-    case bench_policy::ours:
-        return "ours";
-    case bench_policy::oracle:
-        return "oracle";
-    }
-    return "";
-}
-
-struct routing_world::request {
-    int workspace = 0;
-    std::size_t router = 0;
-    coordination::routed_request routed;
-    coordination::placement placed;
-    std::int64_t output_tokens = 0;
-    std::int64_t uncached = 0;
-    coordination::instant arrived;
-    bool counted = false;
-};
-
-struct routing_world::replica {
-    std::size_t number = 0;
-    std::string name;
-    double speed = 0;
-    std::uint64_t life = 1;
-    bool up = true;
-    std::deque<std::shared_ptr<request>> queue;
-    std::shared_ptr<request> prefilling;
-    coordination::instant prefill_ends;
-    int running = 0;
-    std::list<state::piece_hash> order; ///< Least recently used first.
-    std::unordered_map<state::piece_hash, std::list<state::piece_hash>::iterator> cache;
-    std::uint64_t next_event = 1;
-    std::size_t capacity = 0;
-
-    std::int64_t held(const std::vector<state::piece_hash>& chain) const {
-        std::int64_t n = 0;
-        while (n < static_cast<std::int64_t>(chain.size()) &&
-               cache.contains(chain[static_cast<std::size_t>(n)]))
-            ++n;
-        return n;
-    }
-
-    std::int64_t queued_tokens() const {
-        std::int64_t sum = prefilling == nullptr ? 0 : prefilling->uncached;
-        for (const auto& it : queue)
-            sum += std::max<std::int64_t>(
-                it->routed.prompt_tokens - held(it->routed.chain) * internal::piece_tokens, 0);
-        return sum;
-    }
-
-    double prompt_speed() const {
-        return speed * std::max(internal::least_prompt_share, 1 - internal::decode_share * running);
-    }
-};
-
 routing_world::routing_world(const routing_workload& workload, const routing_events& events,
                              bench_policy policy, std::uint64_t seed)
     : workload_(workload), events_(events), policy_(policy), random_(seed), start_(time_.now()) {
@@ -166,7 +64,7 @@
         settings.kind =
             kind == kinds.end() ? coordination::placement_kind::first_token : kind->second;
         settings.index_entries = 1U << 15U;
-        settings.piece_tokens = internal::piece_tokens;
+        settings.piece_tokens = piece_tokens;
         settings.first_call = static_cast<coordination::call_number>(i) << 40U;
         settings.first_token.remote_seconds = workload_.far_seconds;
         settings.first_token.data_centre =
@@ -214,7 +112,7 @@
     auto tail =
         std::uniform_int_distribution<std::int64_t>(50, workload_.most_tail_tokens)(random_);
     it->routed.prompt_tokens =
-        static_cast<std::int64_t>(it->routed.chain.size()) * internal::piece_tokens + tail;
+        static_cast<std::int64_t>(it->routed.chain.size()) * piece_tokens + tail;
     it->routed.model = internal::model_name;
     it->output_tokens =
         std::uniform_int_distribution<std::int64_t>(5, workload_.most_output_tokens)(random_);
@@ -238,7 +136,7 @@
     for (const auto& r : replicas_) {
         if (!r->up)
             continue;
-        auto uncached = it.routed.prompt_tokens - r->held(it.routed.chain) * internal::piece_tokens;
+        auto uncached = it.routed.prompt_tokens - r->held(it.routed.chain) * piece_tokens;
         auto compute = static_cast<double>(uncached) / r->prompt_speed();
         auto queue = static_cast<double>(r->queued_tokens()) / r->prompt_speed();
         auto score = queue + (1 + internal::weighed_recompute) * compute;
@@ -289,15 +187,15 @@
     r.queue.pop_front();
     auto& it = *r.prefilling;
     auto held = r.held(it.routed.chain);
-    it.uncached = it.routed.prompt_tokens - held * internal::piece_tokens;
+    it.uncached = it.routed.prompt_tokens - held * piece_tokens;
     for (std::size_t i = static_cast<std::size_t>(held); i < it.routed.chain.size(); ++i) {
         bool again = !ever_computed_.insert(it.routed.chain[i]).second;
         if (again && it.counted)
-            recomputed_tokens_ += internal::piece_tokens;
+            recomputed_tokens_ += piece_tokens;
     }
     if (it.counted) {
         prompt_tokens_ += static_cast<double>(it.routed.prompt_tokens);
-        cached_tokens_ += static_cast<double>(held * internal::piece_tokens);
+        cached_tokens_ += static_cast<double>(held * piece_tokens);
     }
     auto took = from_seconds(static_cast<double>(it.uncached) / r.prompt_speed());
     r.prefill_ends = time_.now() + took;
--- a/standin/soak.cpp
+++ b/standin/soak.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "standin/completion_call.h"
+#include "standin/soak_check.h"
 #include "standin/stream_checker.h"
 
 namespace azureyoke::standin {
@@ -25,35 +26,6 @@
 constexpr double refunds_per_second = 6;
 constexpr int tokens_of_answer = 30;
 constexpr int most_repeats = 4;
-/// An accepted configuration is in force everywhere after this.
-constexpr auto in_force_bound = std::chrono::seconds(17);
-constexpr auto longest_answer = std::chrono::seconds(25);
-
-double seconds_between(instant a, instant b) {
-    return std::chrono::duration<double>(b - a).count();
-}
-
-/// One completion as its caller saw it.
-struct completion_record {
-    std::string workspace;
-    std::size_t instance = 0;
-    instant sent;
-    instant answered;
-    int status = 0; ///< 0 when the connection broke.
-    bool connected = true;
-    std::string broke; ///< Why there is no answer.
-    bool whole = false;
-    bool explicit_error = false;
-    std::int64_t used = 0;
-    std::string first_wrong;
-};
-
-/// One refund key and all that was said about it.
-struct refund_record {
-    bool said_not_run = false;
-    bool answered = false;
-    int repeats = 0;
-};
 
 class soak_run {
 public:
@@ -71,9 +43,12 @@
         while (fleet_.loop().now() < until_ || open_ > 0)
             fleet_.loop().turn(true);
         heal();
-        check();
+        auto stats = fleet_.fetch(fleet_.service().direct, {"GET", "/stats", {}, {}});
+        check(history_, json::parse(stats.value().body)["runs"],
+              {static_cast<double>(options_.tokens_per_second),
+               static_cast<double>(options_.burst_tokens)});
         report();
-        return violations_.empty() ? 0 : 1;
+        return history_.violations.empty() ? 0 : 1;
     }
 
 private:
@@ -130,7 +105,7 @@
                                       read_stream(*answer, prompt, record);
                                   else
                                       note_failure(answer.error(), record);
-                                  completions_.push_back(std::move(record));
+                                  history_.completions.push_back(std::move(record));
                               });
     }
 
@@ -175,7 +150,7 @@
 
     void on_refund(const std::string& key,
                    const transport::result<transport::http_response>& answer) {
-        auto& record = refunds_[key];
+        auto& record = history_.refunds[key];
         if (answer && answer->status == 200) {
             record.answered = true;
             return;
@@ -251,7 +226,7 @@
         auto& it = fleet_.instances()[which];
         it.child->signal(SIGKILL);
         it.child->wait();
-        cut_at_[which].push_back(fleet_.loop().now());
+        history_.cut_at[which].push_back(fleet_.loop().now());
         after(milliseconds(number(500, 3000)), [this, which] {
             fleet_.start_instance(which);
             disturbed_.erase(which);
@@ -296,8 +271,8 @@
         auto b = fleet_.start_apply("soak-b", next);
         auto codes = std::make_pair(a->wait(), b->wait());
         if (codes.first == 0 && codes.second == 0)
-            violations_.emplace_back("two operators were both told that version " +
-                                     std::to_string(next) + " is accepted");
+            history_.violations.emplace_back("two operators were both told that version " +
+                                             std::to_string(next) + " is accepted");
         bool accepted = codes.first == 0 || codes.second == 0;
         if (!accepted) {
             // In an outage nothing may have been written: the document is as it was.
@@ -306,7 +281,7 @@
         }
         fleet_.set_version(next);
         withdrawn_ = !withdrawn_;
-        key_changes_.emplace_back(fleet_.loop().now(), withdrawn_);
+        history_.key_changes.emplace_back(fleet_.loop().now(), withdrawn_);
     }
 
     void undo_key_change() {
@@ -316,7 +291,7 @@
             fleet_.grant_key("yards");
         // The version may have been used up by a write whose answer was lost.
         fleet_.set_version(fleet_.version() + 1);
-        uncertain_keys_ = true;
+        history_.uncertain_keys = true;
     }
 
     void heal() {
@@ -327,102 +302,17 @@
             fleet_.control(fleet_.proxy(), "/control",
                            json({{"link", "platform-" + it.name}, {"fault", "none"}}).dump());
         if (fleet_.apply_document() != 0)
-            violations_.emplace_back("a document was refused after all faults had ended");
+            history_.violations.emplace_back("a document was refused after all faults had ended");
         auto bound = std::chrono::duration_cast<milliseconds>(in_force_bound).count();
         if (!fleet_.wait_in_force(static_cast<int>(bound)))
-            violations_.emplace_back("an accepted document was not in force everywhere in 17 s");
-    }
-
-    bool was_killed_during(const completion_record& it) const {
-        auto found = cut_at_.find(it.instance);
-        if (found == cut_at_.end())
-            return false;
-        return std::any_of(found->second.begin(), found->second.end(),
-                           [&](auto at) { return at >= it.sent && at <= it.answered; });
-    }
-
-    void check() {
-        for (const auto& it : completions_)
-            check_completion(it);
-        check_refunds();
-        check_rates();
-    }
-
-    void check_completion(const completion_record& it) {
-        if (it.status == 200 && !it.whole && !it.explicit_error)
-            violations_.emplace_back("a stream was neither whole nor ended by an error: " +
-                                     it.first_wrong);
-        if (!it.first_wrong.empty())
-            violations_.emplace_back("a stream held a wrong token: " + it.first_wrong);
-        bool late = it.answered - it.sent > longest_answer;
-        if (it.status == 0 && it.connected && !was_killed_during(it) && !late)
-            violations_.emplace_back("a connection to a live instance was cut: " + it.broke);
-        if (it.workspace == "yards" && it.status == 200 && withdrawn_long_before(it.sent))
-            violations_.emplace_back("a withdrawn key worked 17 s after its withdrawal");
-    }
-
-    bool withdrawn_long_before(instant at) const {
-        if (uncertain_keys_)
-            return false;
-        const std::pair<instant, bool>* last = nullptr;
-        for (const auto& change : key_changes_) {
-            if (change.first <= at)
-                last = &change;
-        }
-        return last != nullptr && last->second && at - last->first > in_force_bound;
-    }
-
-    void check_refunds() {
-        auto stats = fleet_.fetch(fleet_.service().direct, {"GET", "/stats", {}, {}});
-        auto runs = json::parse(stats.value().body)["runs"];
-        for (const auto& [key, n] : runs.items()) {
-            if (n.get<int>() > 1)
-                violations_.emplace_back(key + " ran " + std::to_string(n.get<int>()) + " times");
-        }
-        for (const auto& [key, it] : refunds_) {
-            bool ran = runs.contains(key);
-            if (it.said_not_run && !it.answered && ran)
-                violations_.emplace_back(key + " ran, and its last answer said not-run");
-            if (it.answered && !ran)
-                violations_.emplace_back(key + " was answered and never ran");
-            answered_refunds_ += it.answered ? 1 : 0;
-        }
-    }
-
-    /// Any window, by time of answer: what was admitted in it was admitted at most the longest
-    /// answer earlier.
-    void check_rates() {
-        std::map<std::string, std::vector<const completion_record*>> by_workspace;
-        double slack = 0;
-        for (const auto& it : completions_) {
-            if (it.status != 200)
-                continue;
-            by_workspace[it.workspace].push_back(&it);
-            slack = std::max(slack, seconds_between(it.sent, it.answered));
-        }
-        auto rate = static_cast<double>(options_.tokens_per_second);
-        auto burst = static_cast<double>(options_.burst_tokens);
-        for (auto& [space, list] : by_workspace) {
-            std::sort(list.begin(), list.end(),
-                      [](const auto* a, const auto* b) { return a->answered < b->answered; });
-            for (std::size_t i = 0; i < list.size(); ++i) {
-                double sum = 0;
-                for (std::size_t j = i; j < list.size(); ++j) {
-                    sum += static_cast<double>(list[j]->used);
-                    auto window = seconds_between(list[i]->answered, list[j]->answered) + slack;
-                    if (sum > burst + rate * window) {
-                        violations_.emplace_back(space + " got more than its rate and burst");
-                        return;
-                    }
-                }
-            }
-        }
+            history_.violations.emplace_back(
+                "an accepted document was not in force everywhere in 17 s");
     }
 
     void report() {
         std::map<int, int> by_status;
         int whole = 0;
-        for (const auto& it : completions_) {
+        for (const auto& it : history_.completions) {
             ++by_status[it.status];
             whole += it.whole ? 1 : 0;
         }
@@ -431,20 +321,21 @@
             statuses[status == 0 ? "cut" : std::to_string(status)] = n;
         std::cout << json({{"case", "soak"},
                            {"faults", faults_},
-                           {"completions", completions_.size()},
+                           {"completions", history_.completions.size()},
                            {"whole", whole},
                            {"by_status", statuses},
-                           {"refunds", refunds_.size()},
-                           {"refunds_answered", answered_refunds_},
-                           {"violations", violations_.size()}})
+                           {"refunds", history_.refunds.size()},
+                           {"refunds_answered", history_.answered_refunds},
+                           {"violations", history_.violations.size()}})
                          .dump()
                   << "\n";
-        for (const auto& it : violations_)
+        for (const auto& it : history_.violations)
             std::cout << "VIOLATION: " << it << "\n";
     }
 
     fleet_options options_;
     fleet fleet_;
+    soak_history history_;
     std::mt19937_64 random_;
     double seconds_;
     instant began_;
@@ -452,15 +343,8 @@
     int open_ = 0;
     int faults_ = 0;
     int next_key_ = 1;
-    int answered_refunds_ = 0;
     bool withdrawn_ = false;
-    bool uncertain_keys_ = false;
-    std::vector<std::pair<instant, bool>> key_changes_;
     std::set<std::size_t> disturbed_;
-    std::map<std::size_t, std::vector<instant>> cut_at_;
-    std::vector<completion_record> completions_;
-    std::map<std::string, refund_record> refunds_;
-    std::vector<std::string> violations_;
     std::vector<std::unique_ptr<transport::timer>> timers_;
 };
 
