One server for callers: the old interface leaves evhttp

Both interfaces now use front_server; http_server and http_exchange are gone. What the server refuses by itself (two lengths, large body) is rendered by its owner, so that callers of the old interface get the same error body as before. An answer that has not left whole keeps its connection busy, so that a drain waits for slow readers. Callers of HTTP/1.0 get no chunks.

--- a/azureyoke/src/app/completion_answer.cpp
+++ b/azureyoke/src/app/completion_answer.cpp
@@ -90,7 +90,7 @@
 
 void completion_session::apply_backpressure() {
     auto most = static_cast<std::size_t>(services_.settings.stream_buffer_bytes);
-    if (call_ == nullptr || scope_.exchange().buffered_bytes() <= most)
+    if (call_ == nullptr || scope_.exchange().unwritten() <= most)
         return;
     call_->pause(true);
     scope_.exchange().on_drained([this] {
--- a/azureyoke/src/app/completion_session.cpp
+++ b/azureyoke/src/app/completion_session.cpp
@@ -62,7 +62,7 @@
 };
 
 completion_session::completion_session(caller_services& services,
-                                       std::shared_ptr<transport::http_exchange> exchange,
+                                       std::shared_ptr<transport::front_exchange> exchange,
                                        protocol::completion_kind kind)
     : services_(services), scope_(services, std::move(exchange)), kind_(kind), relay_(scope_.id()) {
 }
--- a/azureyoke/src/app/completion_session.h
+++ b/azureyoke/src/app/completion_session.h
@@ -17,7 +17,7 @@
 class completion_session : public std::enable_shared_from_this<completion_session> {
 public:
     completion_session(caller_services& services,
-                       std::shared_ptr<transport::http_exchange> exchange,
+                       std::shared_ptr<transport::front_exchange> exchange,
                        protocol::completion_kind kind);
 
     void start();
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -62,7 +62,7 @@
               [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }}),
       operators_(loop, {}, [this](const auto& exchange) {
-          exchange->reply(pages_.page(transport::path_of(exchange->head().target)));
+          exchange->reply(pages_.page(transport::path_of(exchange->request().target)));
       }) {}
 
 forward_instance::~forward_instance() = default;
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -140,9 +140,9 @@
 public:
     virtual ~forward_dialect() = default;
     /// \returns nothing, and the rule that was broken in `why`, when a field can't be read.
-    virtual std::optional<caller_intent> read_request(const transport::http_head& head,
+    virtual std::optional<caller_intent> read_request(const transport::http_request& request,
                                                       std::string& why) const = 0;
-    virtual transport::http_fields request_fields(const transport::http_head& head,
+    virtual transport::http_fields request_fields(const transport::http_request& request,
                                                   const forward_directive& directive) const = 0;
     virtual answer_note read_answer(const transport::http_head& head) const = 0;
     /// \brief Fields of an answer as the caller gets them.
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -19,7 +19,7 @@
 
 void forward_session::start() {
     std::string why;
-    auto intent = services_.dialect.read_request(exchange_->head(), why);
+    auto intent = services_.dialect.read_request(exchange_->request(), why);
     if (!intent) {
         refuse(400, why);
         return;
@@ -44,7 +44,7 @@
         return false;
     }
     bool may_be_old = services_.state.policy_may_be_old;
-    route_ = policy_->find_route(intent_.host, transport::path_of(exchange_->head().target));
+    route_ = policy_->find_route(intent_.host, transport::path_of(exchange_->request().target));
     if (route_ == nullptr) {
         if (may_be_old)
             refuse(503, "no known route matches, and the policy may be old", retry_when_ready_s);
@@ -181,10 +181,10 @@
         try_again("server has no usable address");
         return;
     }
-    const auto& head = exchange_->head();
-    transport::http_request request{head.method, head.target,
-                                    services_.dialect.request_fields(head, directive()),
-                                    exchange_->body()};
+    const auto& asked = exchange_->request();
+    transport::http_request request{asked.method, asked.target,
+                                    services_.dialect.request_fields(asked, directive()),
+                                    asked.body};
     ++sends_;
     ++runs_;
     sent_at_ = services_.loop.now();
--- a/azureyoke/src/app/instance.cpp
+++ b/azureyoke/src/app/instance.cpp
@@ -50,11 +50,13 @@
     return limits;
 }
 
-transport::http_server_limits server_limits(const instance_settings& settings) {
-    transport::http_server_limits limits;
-    limits.header_bytes = static_cast<std::size_t>(settings.header_bytes);
+transport::front_limits server_limits(const instance_settings& settings) {
+    transport::front_limits limits;
+    limits.head_bytes = static_cast<std::size_t>(settings.header_bytes);
     limits.body_bytes = static_cast<std::size_t>(settings.body_bytes);
-    limits.read_timeout = std::chrono::seconds(settings.read_timeout_ms / 1000);
+    limits.head_timeout = std::chrono::milliseconds(settings.read_timeout_ms);
+    limits.body_timeout = limits.head_timeout;
+    limits.idle_timeout = limits.head_timeout;
     return limits;
 }
 
@@ -112,9 +114,13 @@
                self_),
       memory_(loop, platform_, router_, log_, self_,
               std::chrono::milliseconds(settings_.memory_period_ms)),
-      callers_(loop, internal::server_limits(settings_),
-               [this](const auto& exchange) { on_caller_request(exchange); }),
-      operators_(loop, transport::http_server_limits{},
+      callers_(
+          loop, internal::server_limits(settings_),
+          [this](const auto& exchange) { on_caller_request(exchange); },
+          [this](auto why) {
+              return protocol::render(protocol::error_of(why), services_.make_id());
+          }),
+      operators_(loop, transport::front_limits{},
                  [this](const auto& exchange) { on_operator_request(exchange); }),
       pages_({self_, loop, metrics_, history_, configuration_, documents_, router_, peers_, shares_,
               rollout_, [this] { return ready(); }, [this] { return draining_; }}),
@@ -292,10 +298,7 @@
     return configuration_.holds_any() && !draining_ && has_part;
 }
 
-void instance::on_caller_request(const std::shared_ptr<transport::http_exchange>& exchange) {
-    open_.insert(exchange);
-    if (draining_)
-        exchange->close_after();
+void instance::on_caller_request(const std::shared_ptr<transport::front_exchange>& exchange) {
     if (auto ec = protocol::check_framing(exchange->request())) {
         request_scope(services_, exchange).refuse(*ec);
         return;
@@ -303,7 +306,7 @@
     route_caller_request(exchange);
 }
 
-void instance::route_caller_request(const std::shared_ptr<transport::http_exchange>& exchange) {
+void instance::route_caller_request(const std::shared_ptr<transport::front_exchange>& exchange) {
     auto path = transport::path_of(exchange->request().target);
     bool chat = path == "/v1/chat/completions";
     if (chat || path == "/v1/completions") {
@@ -326,7 +329,7 @@
     std::make_shared<plain_session>(services_, exchange)->start();
 }
 
-void instance::answer_models(const std::shared_ptr<transport::http_exchange>& exchange) {
+void instance::answer_models(const std::shared_ptr<transport::front_exchange>& exchange) {
     request_scope scope(services_, exchange);
     auto key = protocol::extract_key(exchange->request());
     if (!key) {
@@ -346,7 +349,7 @@
     scope.close(event_id::request_finished, "models listed");
 }
 
-void instance::on_operator_request(const std::shared_ptr<transport::http_exchange>& exchange) {
+void instance::on_operator_request(const std::shared_ptr<transport::front_exchange>& exchange) {
     exchange->reply(pages_.page(transport::path_of(exchange->request().target)));
 }
 
@@ -356,10 +359,7 @@
     draining_ = true;
     drain_began_ = loop_.now();
     log_.write(event_id::instance_stopping, {});
-    for (const auto& it : open_) {
-        if (auto exchange = it.lock())
-            exchange->close_after();
-    }
+    callers_.close_after_answers();
     rollout_.set_candidate(false);
     audit_.add("instance_leaving", "");
     drain_timer_ = loop_.every(internal::drain_check_period, [this] { check_drained(); });
@@ -376,10 +376,7 @@
 }
 
 void instance::check_drained() {
-    std::erase_if(open_, [](const auto& it) {
-        auto exchange = it.lock();
-        return exchange == nullptr || exchange->gone();
-    });
+    auto open = callers_.busy_connections();
     auto waited = (loop_.now() - drain_began_).count() / internal::microseconds_per_millisecond;
     if (waited < settings_.drain_grace_ms)
         return;
@@ -387,10 +384,10 @@
     bool handing_over = (!shares_.left() || !audit_.stored()) &&
                         waited < settings_.drain_grace_ms + internal::most_hand_over_ms;
     bool over_limit = waited >= settings_.drain_limit_ms;
-    if (!over_limit && (handing_over || !open_.empty()))
+    if (!over_limit && (handing_over || open > 0))
         return;
     log_.write(event_id::drain_finished,
-               {{"open", std::to_string(open_.size())}, {"waited_ms", std::to_string(waited)}});
+               {{"open", std::to_string(open)}, {"waited_ms", std::to_string(waited)}});
     log_.write(event_id::instance_stopped, {});
     loop_.stop();
 }
--- a/azureyoke/src/app/instance.h
+++ b/azureyoke/src/app/instance.h
@@ -15,7 +15,7 @@
 #include "azureyoke/src/app/replica_poller.h"
 #include "azureyoke/src/app/rollout_service.h"
 #include "azureyoke/src/app/stall_detector.h"
-#include "azureyoke/src/transport/http_server.h"
+#include "azureyoke/src/transport/front_server.h"
 
 namespace azureyoke::app {
 
@@ -41,10 +41,10 @@
     const transport::address& operators_address() const { return operators_at_; }
 
 private:
-    void on_caller_request(const std::shared_ptr<transport::http_exchange>& exchange);
-    void route_caller_request(const std::shared_ptr<transport::http_exchange>& exchange);
-    void answer_models(const std::shared_ptr<transport::http_exchange>& exchange);
-    void on_operator_request(const std::shared_ptr<transport::http_exchange>& exchange);
+    void on_caller_request(const std::shared_ptr<transport::front_exchange>& exchange);
+    void route_caller_request(const std::shared_ptr<transport::front_exchange>& exchange);
+    void answer_models(const std::shared_ptr<transport::front_exchange>& exchange);
+    void on_operator_request(const std::shared_ptr<transport::front_exchange>& exchange);
     void read_instance_list();
     void set_duties(bool chosen);
     void gossip();
@@ -87,8 +87,8 @@
     replica_poller poller_;
     rollout_service rollout_;
     memory_service memory_;
-    transport::http_server callers_;
-    transport::http_server operators_;
+    transport::front_server callers_;
+    transport::front_server operators_;
     transport::address callers_at_;
     transport::address operators_at_;
     transport::address peers_at_;
@@ -101,9 +101,6 @@
     operator_pages pages_;
     stall_detector stalls_;
     std::uint64_t next_id_ = 0;
-    std::set<std::weak_ptr<transport::http_exchange>,
-             std::owner_less<std::weak_ptr<transport::http_exchange>>>
-        open_;
     transport::instant started_;
     bool draining_ = false;
     bool handed_over_ = false;
--- a/azureyoke/src/app/plain_session.cpp
+++ b/azureyoke/src/app/plain_session.cpp
@@ -26,7 +26,7 @@
 } // namespace internal
 
 plain_session::plain_session(caller_services& services,
-                             std::shared_ptr<transport::http_exchange> exchange)
+                             std::shared_ptr<transport::front_exchange> exchange)
     : services_(services), scope_(services, std::move(exchange)) {}
 
 std::optional<caller_error> plain_session::admit() {
--- a/azureyoke/src/app/plain_session.h
+++ b/azureyoke/src/app/plain_session.h
@@ -18,7 +18,7 @@
 /// leaves, so that its answer is kept for a repeat. Not thread safe.
 class plain_session : public std::enable_shared_from_this<plain_session> {
 public:
-    plain_session(caller_services& services, std::shared_ptr<transport::http_exchange> exchange);
+    plain_session(caller_services& services, std::shared_ptr<transport::front_exchange> exchange);
 
     void start();
 
--- a/azureyoke/src/app/request_scope.cpp
+++ b/azureyoke/src/app/request_scope.cpp
@@ -3,7 +3,7 @@
 namespace azureyoke::app {
 
 request_scope::request_scope(caller_services& services,
-                             std::shared_ptr<transport::http_exchange> exchange)
+                             std::shared_ptr<transport::front_exchange> exchange)
     : services_(services), exchange_(std::move(exchange)), id_(services.make_id()),
       began_(services.loop.now()) {
     trace_.request_id = id_;
--- a/azureyoke/src/app/request_scope.h
+++ b/azureyoke/src/app/request_scope.h
@@ -7,7 +7,7 @@
 #include "azureyoke/src/app/caller_services.h"
 #include "azureyoke/src/protocol/caller_error.h"
 #include "azureyoke/src/protocol/caller_request.h"
-#include "azureyoke/src/transport/http_server.h"
+#include "azureyoke/src/transport/front_server.h"
 
 namespace azureyoke::app {
 
@@ -16,13 +16,13 @@
 /// Not thread safe.
 class request_scope {
 public:
-    request_scope(caller_services& services, std::shared_ptr<transport::http_exchange> exchange);
+    request_scope(caller_services& services, std::shared_ptr<transport::front_exchange> exchange);
 
     const std::string& id() const { return id_; }
 
     const transport::http_request& request() const { return exchange_->request(); }
 
-    transport::http_exchange& exchange() { return *exchange_; }
+    transport::front_exchange& exchange() { return *exchange_; }
 
     transport::instant began() const { return began_; }
 
@@ -37,7 +37,7 @@
 
 private:
     caller_services& services_;
-    std::shared_ptr<transport::http_exchange> exchange_;
+    std::shared_ptr<transport::front_exchange> exchange_;
     std::string id_;
     transport::instant began_;
     request_trace trace_;
--- a/azureyoke/src/protocol/caller_error.cpp
+++ b/azureyoke/src/protocol/caller_error.cpp
@@ -71,6 +71,26 @@
     return static_cast<int>(code) / 10;
 }
 
+caller_error error_of(transport::front_refusal why) {
+    auto made = [](caller_code code, const char* message) {
+        return caller_error{code, message, run_state::not_run, {}};
+    };
+    switch (why) {
+    case transport::front_refusal::ambiguous_length:
+        return made(caller_code::ambiguous_length, one_length_rule);
+    case transport::front_refusal::body_too_large:
+        return made(caller_code::too_large, "the body is larger than this instance accepts");
+    case transport::front_refusal::head_too_large:
+        return made(caller_code::malformed_request,
+                    "the header fields are larger than this instance accepts");
+    case transport::front_refusal::too_slow:
+        return made(caller_code::malformed_request, "the request did not come in time");
+    case transport::front_refusal::malformed:
+        break;
+    }
+    return made(caller_code::malformed_request, "the request is no HTTP/1.1 message");
+}
+
 transport::http_response render(const caller_error& ec, const std::string& request_id) {
     transport::http_response made;
     made.status = status_of(ec.code);
--- a/azureyoke/src/protocol/caller_error.h
+++ b/azureyoke/src/protocol/caller_error.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 
+#include "azureyoke/src/transport/front_server.h"
 #include "azureyoke/src/transport/http_message.h"
 
 namespace azureyoke::protocol {
@@ -34,6 +35,10 @@
     stream_interrupted = 5041
 };
 
+/// Of `ambiguous_length`.
+constexpr const char* one_length_rule =
+    "a request must state its length once: one Content-Length, or one Transfer-Encoding";
+
 /// \brief A refusal as the caller sees it.
 struct caller_error {
     caller_code code = caller_code::malformed_request;
@@ -49,6 +54,9 @@
 /// \brief HTTP status of a code: its first three digits.
 int status_of(caller_code code);
 
+/// \brief What the server refused before it could be handled, as a caller's error.
+caller_error error_of(transport::front_refusal why);
+
 /// \brief The whole answer, with an error body in the OpenAI shape.
 transport::http_response render(const caller_error& ec, const std::string& request_id);
 
--- a/azureyoke/src/protocol/caller_request.cpp
+++ b/azureyoke/src/protocol/caller_request.cpp
@@ -209,11 +209,7 @@
     auto lengths = transport::count_fields(request.fields, "content-length");
     auto encodings = transport::count_fields(request.fields, "transfer-encoding");
     if (lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1))
-        return caller_error{caller_code::ambiguous_length,
-                            "a request must state its length once: one Content-Length, or one "
-                            "Transfer-Encoding",
-                            run_state::not_run,
-                            {}};
+        return caller_error{caller_code::ambiguous_length, one_length_rule, run_state::not_run, {}};
     return std::nullopt;
 }
 
--- a/azureyoke/src/state/json_reader.cpp
+++ b/azureyoke/src/state/json_reader.cpp
@@ -222,9 +222,8 @@
         return fallback;
     bool fits = value->is_number() && value->get<double>() >= low && value->get<double>() <= high;
     if (!fits) {
-        fault(field,
-              "must be a number from " + internal::short_text(low) + " to " +
-                  internal::short_text(high));
+        fault(field, "must be a number from " + internal::short_text(low) + " to " +
+                         internal::short_text(high));
         return fallback;
     }
     return value->get<double>();
--- a/azureyoke/src/transport/front_connection.cpp
+++ b/azureyoke/src/transport/front_connection.cpp
@@ -9,21 +9,6 @@
 constexpr std::size_t most_waiting_bytes = 256 * 1024;
 constexpr duration most_linger = std::chrono::seconds(2);
 
-const char* reason_of(int status) {
-    switch (status) {
-    case 400:
-        return "Bad Request";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 431:
-        return "Request Header Fields Too Large";
-    default:
-        return "Error";
-    }
-}
-
 } // namespace
 } // namespace internal
 
@@ -63,7 +48,7 @@
         auto n = reader_.feed(bytes);
         bytes.remove_prefix(n);
         if (!reader_.failure().empty() && !closed_ && !closing_) {
-            refuse(reader_.head_too_large() ? 431 : 400);
+            refuse(why_unreadable());
             return;
         }
     }
@@ -75,7 +60,7 @@
     keep_alive_ = head_.keep_alive;
     since_ = server_.loop_.now();
     if (head_.length > server_.limits_.body_bytes) {
-        refuse(413);
+        refuse(front_refusal::body_too_large);
         return;
     }
     auto expect = find_field(head_.fields, "Expect");
@@ -87,7 +72,7 @@
     if (closed_ || closing_)
         return;
     if (body_.size() + piece.size() > server_.limits_.body_bytes) {
-        refuse(413);
+        refuse(front_refusal::body_too_large);
         return;
     }
     body_.append(piece);
@@ -97,9 +82,10 @@
     if (closed_ || closing_)
         return;
     since_ = server_.loop_.now();
-    exchange_ = std::make_shared<front_exchange>(*this, std::move(head_), std::move(body_), since_);
+    http_request request{std::move(head_.method), std::move(head_.target), std::move(head_.fields),
+                         std::exchange(body_, {})};
+    exchange_ = std::make_shared<front_exchange>(*this, std::move(request), head_.chunks, since_);
     head_ = {};
-    body_ = {};
     auto exchange = exchange_;
     server_.on_request_(exchange);
 }
@@ -123,10 +109,20 @@
     });
 }
 
-void front_connection::refuse(int status) {
-    stream_.write("HTTP/1.1 " + std::to_string(status) + " " + internal::reason_of(status) +
-                  "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-    finish_closing();
+front_refusal front_connection::why_unreadable() const {
+    if (reader_.head_too_large())
+        return front_refusal::head_too_large;
+    return reader_.ambiguous_length() ? front_refusal::ambiguous_length : front_refusal::malformed;
+}
+
+void front_connection::refuse(front_refusal why) {
+    keep_alive_ = false;
+    http_response answer{status_of(why), {}, {}};
+    if (server_.render_)
+        answer = server_.render_(why);
+    // It answers no exchange: nobody is told of its end, and the connection closes after it.
+    front_exchange once(*this, {}, true, since_);
+    once.reply(answer);
 }
 
 // The peer closes first where it can: a close with unread bytes would reset the connection and
@@ -180,7 +176,7 @@
     }
     bool in_head = !reader_.head_complete();
     if (waited >= (in_head ? server_.limits_.head_timeout : server_.limits_.body_timeout))
-        refuse(408);
+        refuse(front_refusal::too_slow);
 }
 
 } // namespace azureyoke::transport
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -24,13 +24,18 @@
     std::size_t unwritten() const { return stream_.unwritten(); }
 
     bool closes_after_answer() const;
+
+    void close_after_answer() { keep_alive_ = false; }
+
     /// \brief The answer has been handed over; the next request may be read.
     void answer_ended();
     void close();
     /// \brief Ends the connection when a limit of time has passed.
     void check_time(instant now);
 
-    bool busy() const { return exchange_ != nullptr || !reader_.at_boundary(); }
+    bool busy() const {
+        return exchange_ != nullptr || !reader_.at_boundary() || stream_.unwritten() > 0;
+    }
 
 private:
     void on_bytes(std::string_view bytes) override;
@@ -40,7 +45,8 @@
     void on_body(std::string_view piece) override;
     void on_complete() override;
     void consume(std::string_view bytes);
-    void refuse(int status);
+    front_refusal why_unreadable() const;
+    void refuse(front_refusal why);
     void finish_closing();
 
     front_server& server_;
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -17,12 +17,20 @@
     switch (status) {
     case 200:
         return "OK";
+    case 400:
+        return "Bad Request";
     case 401:
         return "Unauthorized";
     case 404:
         return "Not Found";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Content Too Large";
     case 429:
         return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
     case 502:
         return "Bad Gateway";
     case 503:
@@ -60,10 +68,10 @@
 } // namespace
 } // namespace internal
 
-front_exchange::front_exchange(front_connection& connection, http_head head, std::string body,
+front_exchange::front_exchange(front_connection& connection, http_request request, bool chunks,
                                instant received)
-    : connection_(&connection), head_(std::move(head)), body_(std::move(body)),
-      received_(received) {}
+    : connection_(&connection), request_(std::move(request)), chunks_(chunks), received_(received) {
+}
 
 front_connection* front_exchange::release() {
     on_closed_ = nullptr;
@@ -75,12 +83,15 @@
     if (over())
         return;
     started_ = true;
-    auto out =
-        internal::render_head(answer.status, answer.fields, connection_->closes_after_answer());
+    auto asked = find_field(answer.fields, "Connection");
+    if (asked && equal_names(*asked, "close"))
+        connection_->close_after_answer();
+    bool close = connection_->closes_after_answer() && !asked;
+    auto out = internal::render_head(answer.status, answer.fields, close);
     if (!internal::has_no_body(answer.status))
         out += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     out += "\r\n";
-    if (head_.method != "HEAD")
+    if (request_.method != "HEAD")
         out += answer.body;
     connection_->write(out);
     release()->answer_ended();
@@ -92,7 +103,7 @@
         return;
     started_ = true;
     auto out = internal::render_head(status, fields, connection_->closes_after_answer());
-    chunked_ = !length && !internal::has_no_body(status);
+    chunked_ = !length && chunks_ && !internal::has_no_body(status);
     if (chunked_)
         out += "Transfer-Encoding: chunked\r\n";
     else if (length)
@@ -102,7 +113,7 @@
 }
 
 void front_exchange::write(std::string_view piece) {
-    if (over() || piece.empty() || head_.method == "HEAD")
+    if (over() || piece.empty() || request_.method == "HEAD")
         return;
     if (!chunked_) {
         connection_->write(piece);
@@ -117,7 +128,7 @@
 void front_exchange::end() {
     if (over())
         return;
-    if (chunked_ && head_.method != "HEAD")
+    if (chunked_ && request_.method != "HEAD")
         connection_->write("0\r\n\r\n");
     release()->answer_ended();
 }
@@ -131,9 +142,25 @@
     return over() ? 0 : connection_->unwritten();
 }
 
-front_server::front_server(event_loop& loop, const front_limits& limits, handler on_request)
-    : loop_(loop), limits_(limits), on_request_(std::move(on_request)),
-      listener_(loop, [this](int fd) { accept(fd); }) {}
+int status_of(front_refusal why) {
+    switch (why) {
+    case front_refusal::head_too_large:
+        return 431;
+    case front_refusal::body_too_large:
+        return 413;
+    case front_refusal::too_slow:
+        return 408;
+    case front_refusal::malformed:
+    case front_refusal::ambiguous_length:
+        return 400;
+    }
+    return 400;
+}
+
+front_server::front_server(event_loop& loop, const front_limits& limits, handler on_request,
+                           refusal_renderer render)
+    : loop_(loop), limits_(limits), on_request_(std::move(on_request)), render_(std::move(render)),
+      listener_(std::in_place, loop, [this](int fd) { accept(fd); }) {}
 
 front_server::~front_server() {
     auto all = std::exchange(connections_, {});
@@ -143,7 +170,7 @@
 
 result<address> front_server::listen(const address& at) {
     sweep_timer_ = loop_.every(internal::sweep_period, [this] { sweep(); });
-    return listener_.listen(at);
+    return listener_->listen(at);
 }
 
 void front_server::accept(int fd) {
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -22,6 +22,12 @@
     friend bool operator==(const front_limits&, const front_limits&) = default;
 };
 
+/// \brief Why a request was refused before a handler saw it.
+enum class front_refusal { malformed, ambiguous_length, head_too_large, body_too_large, too_slow };
+
+/// \brief The status of a refusal.
+int status_of(front_refusal why);
+
 class front_server;
 class front_connection;
 
@@ -30,12 +36,11 @@
 /// The handler may keep it; once the caller has gone, writes are ignored. Not thread safe.
 class front_exchange {
 public:
-    front_exchange(front_connection& connection, http_head head, std::string body,
+    /// \brief `chunks` is false when the caller's version of HTTP knows none.
+    front_exchange(front_connection& connection, http_request request, bool chunks,
                    instant received);
 
-    const http_head& head() const { return head_; }
-
-    const std::string& body() const { return body_; }
+    const http_request& request() const { return request_; }
 
     /// \brief When the last byte of the request was read.
     instant received() const { return received_; }
@@ -49,7 +54,8 @@
     void reply(const http_response& answer);
     /// \brief Starts an answer with `length` bytes, or in chunks without it.
     /// Precondition: not started.
-    void start(int status, const http_fields& fields, std::optional<std::uint64_t> length);
+    void start(int status, const http_fields& fields,
+               std::optional<std::uint64_t> length = std::nullopt);
     /// \brief Sends a piece. Precondition: started.
     void write(std::string_view piece);
     /// \brief Ends an answer that was started.
@@ -71,8 +77,8 @@
     front_connection* release();
 
     front_connection* connection_;
-    http_head head_;
-    std::string body_;
+    http_request request_;
+    bool chunks_;
     instant received_;
     std::function<void()> on_closed_;
     std::function<void()> on_drained_;
@@ -87,8 +93,12 @@
 class front_server {
 public:
     using handler = std::function<void(std::shared_ptr<front_exchange>)>;
+    /// \brief Renders what the server itself refuses; the connection closes after it.
+    using refusal_renderer = std::function<http_response(front_refusal)>;
 
-    front_server(event_loop& loop, const front_limits& limits, handler on_request);
+    /// \brief Without `render` refusals have a status only.
+    front_server(event_loop& loop, const front_limits& limits, handler on_request,
+                 refusal_renderer render = nullptr);
     ~front_server();
     front_server(const front_server&) = delete;
     front_server& operator=(const front_server&) = delete;
@@ -105,9 +115,12 @@
     /// \brief Closes connections on which no request is being read or answered.
     void close_idle();
 
+    /// \brief Stops accepting connections; open ones go on.
+    void stop_accepting() { listener_.reset(); }
+
     std::size_t connections() const { return connections_.size(); }
 
-    /// \brief Connections on which a request is being read or answered.
+    /// \brief Connections on which a request is being read or an answer has not left whole.
     std::size_t busy_connections() const;
 
 private:
@@ -119,7 +132,8 @@
     event_loop& loop_;
     front_limits limits_;
     handler on_request_;
-    tcp_listener listener_;
+    refusal_renderer render_;
+    std::optional<tcp_listener> listener_;
     std::map<front_connection*, std::shared_ptr<front_connection>> connections_;
     std::unique_ptr<timer> sweep_timer_;
     bool closing_ = false;
--- a/azureyoke/src/transport/http_reader.cpp
+++ b/azureyoke/src/transport/http_reader.cpp
@@ -125,6 +125,7 @@
         failure_ = "upgrades are not served";
         return -1;
     }
+    head_.chunks = raw.http_major > 1 || raw.http_minor >= 1;
     head_.keep_alive = http_should_keep_alive(&raw) != 0;
     bool has_length = raw.content_length != std::numeric_limits<std::uint64_t>::max();
     bool bodiless =
@@ -175,6 +176,7 @@
     }
     if (code != HPE_OK) {
         head_too_large_ = code == HPE_HEADER_OVERFLOW;
+        ambiguous_length_ = code == HPE_UNEXPECTED_CONTENT_LENGTH;
         if (failure_.empty())
             failure_ = http_errno_description(code);
     }
--- a/azureyoke/src/transport/http_reader.h
+++ b/azureyoke/src/transport/http_reader.h
@@ -27,6 +27,7 @@
     int status = 0;     ///< Answers only.
     http_fields fields;
     bool keep_alive = false;
+    bool chunks = true; ///< Whether the sender's version of HTTP knows chunks.
     http_framing framing = http_framing::none;
     std::uint64_t length = 0; ///< Of the body, when framing is `length`.
 
@@ -69,6 +70,9 @@
 
     bool head_too_large() const { return head_too_large_; }
 
+    /// \brief The message states its length more than once.
+    bool ambiguous_length() const { return ambiguous_length_; }
+
     /// \brief True between messages: no byte of the next one was read.
     bool at_boundary() const { return at_boundary_; }
 
@@ -93,6 +97,7 @@
     bool at_boundary_ = true;
     bool no_body_ = false;
     bool head_too_large_ = false;
+    bool ambiguous_length_ = false;
     std::string failure_;
 };
 
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -176,7 +176,7 @@
 void engine::finish_prefill(const std::shared_ptr<job>& it) {
     prefilling_.reset();
     store_pieces(it->chain);
-    if (!it->exchange->closed()) {
+    if (!it->exchange->over()) {
         running_.push_back(it);
         if (fault_ != engine_fault::silent) {
             it->exchange->start(
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -11,7 +11,7 @@
 
 #include "azureyoke/src/state/prefix_chain.h"
 #include "azureyoke/src/transport/event_loop.h"
-#include "azureyoke/src/transport/http_server.h"
+#include "azureyoke/src/transport/front_server.h"
 
 namespace azureyoke::standin {
 
@@ -74,7 +74,7 @@
         std::int64_t ended_us = 0; ///< 0 while it lasts.
     };
 
-    using exchange_ptr = std::shared_ptr<transport::http_exchange>;
+    using exchange_ptr = std::shared_ptr<transport::front_exchange>;
 
     void on_request(const exchange_ptr& exchange);
     void on_completion(const exchange_ptr& exchange);
@@ -99,7 +99,7 @@
     transport::event_loop& loop_;
     engine_options options_;
     std::mt19937_64 random_;
-    transport::http_server server_;
+    transport::front_server server_;
     std::uint64_t incarnation_ = 1;
     engine_fault fault_ = engine_fault::none;
     bool loading_ = false;
--- a/standin/fault_proxy.h
+++ b/standin/fault_proxy.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "azureyoke/src/transport/event_loop.h"
-#include "azureyoke/src/transport/http_server.h"
+#include "azureyoke/src/transport/front_server.h"
 
 struct evconnlistener;
 struct bufferevent;
@@ -44,7 +44,7 @@
 private:
     struct link;
     struct pipe;
-    using exchange_ptr = std::shared_ptr<transport::http_exchange>;
+    using exchange_ptr = std::shared_ptr<transport::front_exchange>;
 
     void on_request(const exchange_ptr& exchange);
     void open_link(const exchange_ptr& exchange);
@@ -52,7 +52,7 @@
     static void accepted(evconnlistener* listener, int fd, sockaddr* from, int length, void* self);
 
     transport::event_loop& loop_;
-    transport::http_server control_;
+    transport::front_server control_;
     std::map<std::string, std::unique_ptr<link>> links_;
 };
 
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "azureyoke/src/transport/event_loop.h"
-#include "azureyoke/src/transport/http_server.h"
+#include "azureyoke/src/transport/front_server.h"
 
 namespace azureyoke::standin {
 
@@ -24,7 +24,7 @@
     transport::result<transport::address> listen(const transport::address& at);
 
 private:
-    using exchange_ptr = std::shared_ptr<transport::http_exchange>;
+    using exchange_ptr = std::shared_ptr<transport::front_exchange>;
 
     struct row {
         std::int64_t version = 0;
@@ -45,7 +45,7 @@
 
     transport::event_loop& loop_;
     std::mt19937_64 random_;
-    transport::http_server server_;
+    transport::front_server server_;
     std::map<std::string, row> table_;
     std::int64_t next_version_ = 1;
     std::map<std::string, std::string> objects_;
--- a/standin/service.h
+++ b/standin/service.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "azureyoke/src/transport/event_loop.h"
-#include "azureyoke/src/transport/http_server.h"
+#include "azureyoke/src/transport/front_server.h"
 
 namespace azureyoke::standin {
 
@@ -20,7 +20,7 @@
     transport::result<transport::address> listen(const transport::address& at);
 
 private:
-    using exchange_ptr = std::shared_ptr<transport::http_exchange>;
+    using exchange_ptr = std::shared_ptr<transport::front_exchange>;
 
     void on_request(const exchange_ptr& exchange);
     void on_control(const exchange_ptr& exchange);
@@ -28,7 +28,7 @@
     void answer(const exchange_ptr& exchange, const std::string& key, int run_number);
 
     transport::event_loop& loop_;
-    transport::http_server server_;
+    transport::front_server server_;
     std::map<std::string, int> runs_;
     std::string fault_ = "none";
     std::int64_t delay_ms_ = 0;
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -14,14 +14,14 @@
 /// \brief A dialect of few words for tests.
 class plain_dialect : public app::forward_dialect {
 public:
-    std::optional<app::caller_intent> read_request(const transport::http_head& head,
+    std::optional<app::caller_intent> read_request(const transport::http_request& request,
                                                    std::string& why) const override {
         app::caller_intent made;
-        made.request_id = transport::find_field(head.fields, "id").value_or("");
+        made.request_id = transport::find_field(request.fields, "id").value_or("");
         made.host = "h";
-        made.key = transport::find_field(head.fields, "key").value_or("");
-        made.model = transport::find_field(head.fields, "model").value_or("");
-        if (auto ms = transport::find_field(head.fields, "deadline"))
+        made.key = transport::find_field(request.fields, "key").value_or("");
+        made.model = transport::find_field(request.fields, "model").value_or("");
+        if (auto ms = transport::find_field(request.fields, "deadline"))
             made.deadline_ms = std::stoll(*ms);
         if (made.request_id.empty()) {
             why = "field id is required";
@@ -30,9 +30,9 @@
         return made;
     }
 
-    transport::http_fields request_fields(const transport::http_head& head,
+    transport::http_fields request_fields(const transport::http_request& request,
                                           const app::forward_directive& directive) const override {
-        return {{"id", transport::find_field(head.fields, "id").value_or("")},
+        return {{"id", transport::find_field(request.fields, "id").value_or("")},
                 {"server", directive.server},
                 {"last", directive.last_event}};
     }
--- /dev/null
+++ b/test/front_server_test.cpp
@@ -0,0 +1,127 @@
+#include "azureyoke/src/transport/front_server.h"
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "azureyoke/src/transport/tcp_stream.h"
+
+using namespace azureyoke;
+
+namespace {
+
+struct server_fixture {
+    transport::event_loop loop;
+    int served = 0;
+    transport::front_server server{loop, {}, [this](const auto& exchange) {
+                                       ++served;
+                                       exchange->reply({200, {}, "ok"});
+                                   }};
+    transport::address at = *server.listen({"127.0.0.1", 0});
+};
+
+/// Sends a whole request before it reads anything, as simple clients do.
+struct plain_client : transport::tcp_stream_sink {
+    plain_client(transport::event_loop& loop, const transport::address& at,
+                 const std::string& request)
+        : stream(loop, at, *this) {
+        stream.pause(true);
+        stream.write(request);
+        while (!sent && !ended)
+            loop.turn(true);
+        stream.pause(false);
+        while (!ended && answer.find("\r\n") == std::string::npos)
+            loop.turn(true);
+    }
+
+    void on_bytes(std::string_view bytes) override { answer += bytes; }
+
+    void on_end(bool /*reset*/) override { ended = true; }
+
+    void on_drained() override { sent = true; }
+
+    std::string answer;
+    bool sent = false;
+    bool ended = false;
+    transport::tcp_stream stream;
+};
+
+std::string post(std::size_t bytes) {
+    return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+           std::string(bytes, 'x');
+}
+
+std::string in_chunks(int chunks) {
+    std::string request = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (int i = 0; i < chunks; ++i)
+        request += "20000\r\n" + std::string(0x20000, 'x') + "\r\n";
+    return request + "0\r\n\r\n";
+}
+
+constexpr std::size_t megabyte = 1024 * 1024;
+
+/// Sends one request on a connection of its own and expects the status.
+void expect(server_fixture& it, const std::string& request, const std::string& status) {
+    plain_client client(it.loop, it.at, request);
+    cr_assert(client.answer.starts_with("HTTP/1.1 " + status + " "), "%s", client.answer.c_str());
+}
+
+} // namespace
+
+Test(front_server, body_far_over_the_limit_is_answered_413) {
+    server_fixture it;
+    expect(it, post(100 * megabyte), "413");
+    expect(it, in_chunks(100), "413");
+    cr_assert_eq(it.served, 0);
+    expect(it, post(5), "200");
+}
+
+Test(front_server, answer_of_many_bytes_keeps_its_connection_busy_until_it_has_left) {
+    transport::event_loop loop;
+    transport::front_server server{loop, {}, [](const auto& exchange) {
+                                       exchange->reply({200, {}, std::string(50 * megabyte, 'x')});
+                                   }};
+    auto at = *server.listen({"127.0.0.1", 0});
+    plain_client client(loop, at, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_assert_eq(server.busy_connections(), 1U);
+    client.stream.pause(false);
+    while (client.answer.size() < 50 * megabyte)
+        loop.turn(true);
+    cr_assert_eq(server.busy_connections(), 0U);
+}
+
+Test(front_server, caller_of_an_older_http_gets_no_chunks) {
+    transport::event_loop loop;
+    transport::front_server server{loop, {}, [](const auto& exchange) {
+                                       exchange->start(200, {});
+                                       exchange->write("piece");
+                                       exchange->end();
+                                   }};
+    auto at = *server.listen({"127.0.0.1", 0});
+    plain_client client(loop, at, "GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    while (!client.ended)
+        loop.turn(true);
+    cr_assert(client.answer.ends_with("\r\n\r\npiece"), "%s", client.answer.c_str());
+    cr_assert_eq(client.answer.find("chunked"), std::string::npos);
+}
+
+Test(front_server, refusal_is_rendered_by_its_owner_and_closes_the_connection) {
+    transport::event_loop loop;
+    transport::front_server server{
+        loop,
+        {},
+        [](const auto& exchange) {
+            exchange->reply({200, {}, "ok"});
+        },
+        [](transport::front_refusal why) {
+            return transport::http_response{transport::status_of(why), {}, "own words"};
+        }};
+    auto at = *server.listen({"127.0.0.1", 0});
+    plain_client client(loop, at,
+                        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                        "Content-Length: 4\r\n\r\nabcd");
+    while (!client.ended)
+        loop.turn(true);
+    cr_assert(client.answer.starts_with("HTTP/1.1 400 "), "%s", client.answer.c_str());
+    cr_assert(client.answer.ends_with("own words"));
+}
