--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -91,10 +91,8 @@
 }
 
 void forward_instance::on_policy(const policy_copy& copy) {
-    const auto& current = state_.policy.policy;
-    if (current != nullptr && copy.policy->version() <= current->version())
+    if (!state_.set_policy(copy, loop_.now()))
         return;
-    state_.set_policy(copy, loop_.now());
     callers_.set_limits(internal::limits_of(copy.policy->bounds()));
     log_.write(event_id::configuration_accepted,
                {{"version", std::to_string(copy.policy->version())}});
--- a/azureyoke/src/app/forward_state.cpp
+++ b/azureyoke/src/app/forward_state.cpp
@@ -26,7 +26,9 @@
     : directory({}), router(internal::router_settings_of(settings)),
       retry_settings_(internal::retry_settings_of(settings)) {}
 
-void forward_state::set_policy(const policy_copy& copy, transport::instant now) {
+bool forward_state::set_policy(const policy_copy& copy, transport::instant now) {
+    if (policy.policy != nullptr && copy.policy->version() <= policy.policy->version())
+        return false;
     policy = copy;
     std::map<std::string, coordination::fleet_limit> kept;
     for (const auto& it : copy.policy->workspaces()) {
@@ -43,6 +45,7 @@
         kept.emplace(it.name, std::move(found->second));
     }
     limits = std::move(kept);
+    return true;
 }
 
 coordination::service_retry_budget& forward_state::retries(const std::string& pool) {
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -61,7 +61,8 @@
 struct forward_state {
     explicit forward_state(const forward_settings& settings);
 
-    void set_policy(const policy_copy& copy, transport::instant now);
+    /// \returns whether the policy is newer than the one in force, and now is in force itself.
+    bool set_policy(const policy_copy& copy, transport::instant now);
     coordination::service_retry_budget& retries(const std::string& pool);
     /// \brief Changes the bounds of repeats; what was counted stays.
     void set_retries(const forward_settings& settings);
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "azureyoke/src/coordination/fleet_limit.h"
+
 namespace azureyoke::app {
 
 namespace internal {
@@ -9,8 +11,7 @@
 
 constexpr transport::duration tick_period = std::chrono::milliseconds(250);
 constexpr transport::duration report_period = std::chrono::milliseconds(500);
-/// A peer that was not heard for this long may be cut off, and may spend.
-constexpr transport::duration silence = std::chrono::milliseconds(1500);
+constexpr transport::duration silence = coordination::member_silence;
 /// A peer that was not heard for this long, and not listed anew, has ended.
 constexpr transport::duration gone_after = std::chrono::seconds(20);
 /// Between readings of the list of instances; a new one also makes itself heard.
--- a/azureyoke/src/coordination/fleet_limit.cpp
+++ b/azureyoke/src/coordination/fleet_limit.cpp
@@ -11,7 +11,18 @@
 void fleet_limit::refill(instant now) {
     if (now <= refilled_)
         return;
-    level_ = std::min(burst_, level_ + rate_ * heard_share_ * to_seconds(now - refilled_));
+    double gained = rate_ * heard_share_ * to_seconds(now - refilled_);
+    for (auto& [name, it] : peers_) {
+        // Of one that is silent for long, `heard_share_` holds the part back for good.
+        auto until = std::min(now, it.heard + settings_.silence);
+        auto from = std::max(refilled_, it.heard + settings_.doubt);
+        if (until <= from)
+            continue;
+        double part = rate_ / members_ * to_seconds(until - from);
+        it.held_back += part;
+        gained -= part;
+    }
+    level_ = std::min(burst_, level_ + std::max(0.0, gained));
     refilled_ = now;
 }
 
@@ -24,6 +35,7 @@
 
 void fleet_limit::set_members(int all, int silent, instant now) {
     refill(now);
+    members_ = std::max(1, all);
     heard_share_ = all <= 0 ? 1.0 : static_cast<double>(all - silent) / all;
 }
 
@@ -52,8 +64,9 @@
         return;
     bool was_silent = !fresh && now - it.heard > settings_.silence;
     double base = restarted ? 0 : it.total;
-    if (!fresh && !was_silent && total > base)
-        level_ -= total - base;
+    if (!fresh && !was_silent)
+        level_ = std::min(burst_, level_ + it.held_back - std::max(0.0, total - base));
+    it.held_back = 0;
     it.total = restarted ? total : std::max(it.total, total);
     it.incarnation = incarnation;
     it.heard = now;
--- a/azureyoke/src/coordination/fleet_limit.h
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -8,8 +8,15 @@
 
 namespace azureyoke::coordination {
 
+/// A member that was not heard for this long may be cut off, and may spend. Reports come twice a
+/// second at least, so that three in a row were lost.
+constexpr duration member_silence = std::chrono::milliseconds(1500);
+
 struct fleet_limit_settings {
-    duration silence = std::chrono::milliseconds(1500); ///< Then a member's spending is unknown.
+    duration silence = member_silence; ///< Then a member's spending is unknown.
+    /// A member that spends reports every 100 ms. One that was not heard for three times as long
+    /// may be cut off: its part of the rate waits for its next report.
+    duration doubt = std::chrono::milliseconds(300);
     double report_share = 0.04; ///< Of a burst: spending that peers are told of at once.
 
     friend bool operator==(const fleet_limit_settings&, const fleet_limit_settings&) = default;
@@ -19,10 +26,10 @@
 ///
 /// Each instance takes its own spending from its copy at once and that of its peers as they report
 /// it, by counters that only rise, so that a lost report is made good by the next one. While a
-/// member is silent its even part of the rate is held back, so that both sides of a cut together
-/// stay within the limit. A bucket starts empty, since a restarted instance does not know what was
-/// spent before. Answers a hot workspace whose callers are spread unevenly over the instances.
-/// Pure. Not thread safe.
+/// member is silent its even part of the rate is held back, so that all sides of a cut together
+/// stay within the limit; for a short silence it is given back with the member's next report. A
+/// bucket starts empty, since a restarted instance does not know what was spent before. Answers a
+/// hot workspace whose callers are spread unevenly over the instances. Pure. Not thread safe.
 class fleet_limit {
 public:
     fleet_limit(const fleet_limit_settings& settings, double rate, double burst, instant now);
@@ -67,6 +74,7 @@
         std::uint64_t incarnation = 0;
         double total = 0;
         instant heard;
+        double held_back = 0; ///< Of the rate, since it was last heard.
     };
 
     void refill(instant now);
@@ -77,6 +85,7 @@
     double level_ = 0;
     instant refilled_;
     double heard_share_ = 1;
+    int members_ = 1;
     double spent_ = 0;
     double reported_ = 0;
     std::map<std::string, peer_counter> peers_;
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -35,7 +35,7 @@
     double reread_weight = 4;
     duration saved_life = std::chrono::seconds(20); ///< Between saves of the same parts.
     std::size_t most_cache_entries = 100'000;
-    duration peer_silence = std::chrono::milliseconds(1500);
+    duration peer_silence = std::chrono::milliseconds(1500); ///< Then its work is forgotten.
 
     friend bool operator==(const fleet_router_settings&, const fleet_router_settings&) = default;
 };
--- a/test/attempt_run_test.cpp
+++ b/test/attempt_run_test.cpp
@@ -247,3 +247,16 @@
     cr_assert(next.front().step == attempt_step::answer);
     cr_assert(next.front().verdict == attempt_verdict::unknown);
 }
+
+Test(attempt_run, request_of_which_no_byte_left_is_answered_not_run) {
+    attempt_run run("a", "digest", false);
+    (void)run.start();
+    auto sent = run.on_write(write_result::written, 1);
+    cr_assert(sent.at(0).step == attempt_step::dispatch);
+    auto ended = run.on_service_failure(false, false);
+    cr_assert(ended.at(0).step == attempt_step::answer);
+    cr_assert(ended.at(0).verdict == attempt_verdict::not_run);
+    // The key may be used again at once.
+    cr_assert(ended.at(1).step == attempt_step::write_record);
+    cr_assert(ended.at(1).record.phase == state::attempt_phase::released);
+}
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -189,7 +189,7 @@
         auto policy = std::make_shared<const state::traffic_policy>(
             1, std::vector{route}, std::vector<state::server_pool>{{"p", 0, 0, {}, {}}},
             std::vector{space}, state::caller_bounds());
-        state->set_policy({policy, ""}, loop.now());
+        (void)state->set_policy({policy, ""}, loop.now());
     }
 
     void add(const std::string& id, const transport::address& to) const {
--- a/test/forward_state_test.cpp
+++ b/test/forward_state_test.cpp
@@ -44,3 +44,28 @@
     cr_assert_not(it.learn(2, start, true));
     cr_assert_eq(it.version, 3);
 }
+
+namespace {
+
+/// A policy with one workspace whose only key is `key`.
+app::policy_copy policy_of(std::int64_t version, const std::string& key) {
+    state::forward_workspace space;
+    space.name = "w";
+    space.keys = {key};
+    return {std::make_shared<const state::traffic_policy>(
+                version, std::vector<state::forward_route>(), std::vector<state::server_pool>(),
+                std::vector{space}, state::caller_bounds()),
+            ""};
+}
+
+} // namespace
+
+Test(forward_state, older_policy_and_another_of_the_same_version_are_not_taken) {
+    app::forward_state it{app::forward_settings()};
+    cr_assert(it.set_policy(policy_of(7, "seven"), start));
+    cr_assert_not(it.set_policy(policy_of(6, "six"), start));
+    cr_assert_not(it.set_policy(policy_of(7, "other"), start));
+    cr_assert_not_null(it.policy.policy->find_workspace("seven"));
+    cr_assert(it.set_policy(policy_of(9, "nine"), start));
+    cr_assert_null(it.policy.policy->find_workspace("seven"));
+}
