--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -97,7 +97,11 @@
         return true;
     }
     auto wait = std::max(limit->seconds_until(cost, now), least_retry_s);
-    refuse(429, "workspace \"" + workspace_->name + "\" has used its rate and burst",
+    auto text = [](double value) { return std::to_string(std::lround(value)); };
+    refuse(429,
+           "workspace \"" + workspace_->name + "\" has used its rate and burst: " + text(cost) +
+               " asked, " + text(limit->available(now)) + " left of " + text(limit->burst()) +
+               " at " + text(limit->rate()) + " a second",
            std::min(wait, ms_left() / 3000));
     return false;
 }
