--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -8,8 +8,6 @@
 namespace internal {
 namespace {
 
-/// Of each kind of event about requests, so that refusals are not crowded out by successes.
-constexpr int lines_per_second = 50;
 /// Requests that `azureyoke explain` can tell about.
 constexpr std::size_t most_traces = 2000;
 constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
@@ -42,7 +40,7 @@
                                    forward_world world)
     : loop_(loop), settings_(std::move(settings)), world_(world),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
-      lines_(internal::lines_per_second), history_(internal::most_traces), backends_(loop, {}),
+      lines_(static_cast<int>(settings_.log_lines_per_second)), history_(internal::most_traces), backends_(loop, {}),
       state_(settings_), services_{settings_, loop_,  backends_, world_.dialect, state_,
                                    log_,      lines_, metrics_,  history_,       false},
       peers_(
--- a/azureyoke/src/app/forward_settings.cpp
+++ b/azureyoke/src/app/forward_settings.cpp
@@ -24,6 +24,8 @@
     made.retry_share = reader.number("retry_share", 0, 10, made.retry_share);
     made.retry_reserve = reader.number("retry_reserve", 0, 1e6, made.retry_reserve);
     made.retry_window_ms = reader.integer("retry_window_ms", 100, 600'000, made.retry_window_ms);
+    made.log_lines_per_second =
+        reader.integer("log_lines_per_second", 0, 100'000, made.log_lines_per_second);
     made.limit_window_s = reader.number("limit_window_s", 0, 86'400, made.limit_window_s);
     made.weights_limit_ms =
         reader.integer("weights_limit_ms", 500, 86'400'000, made.weights_limit_ms);
--- a/azureyoke/src/app/forward_settings.h
+++ b/azureyoke/src/app/forward_settings.h
@@ -25,8 +25,9 @@
     double retry_share = 0.2;
     double retry_reserve = 50;
     std::int64_t retry_window_ms = 10'000;
-    double limit_window_s = 0;            ///< Workspaces' limits are judged over this; 0: none.
-    std::int64_t weights_limit_ms = 6000; ///< Named weights are in place within this.
+    std::int64_t log_lines_per_second = 50; ///< Of each kind of event about requests.
+    double limit_window_s = 0;              ///< Workspaces' limits are judged over this; 0: none.
+    std::int64_t weights_limit_ms = 6000;   ///< Named weights are in place within this.
 
     friend bool operator==(const forward_settings&, const forward_settings&) = default;
 };
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -39,10 +39,11 @@
 }
 
 std::optional<peer_report> parse_peer_report(std::string_view bytes) {
-    auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (!body.is_array() || body.size() != 13)
-        return std::nullopt;
     try {
+        // Sizes that can't be are thrown even where faults are not.
+        auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        if (!body.is_array() || body.size() != 13)
+            return std::nullopt;
         peer_report made;
         made.instance = body[0].get<std::string>();
         made.incarnation = body[1].get<std::uint64_t>();
@@ -66,7 +67,7 @@
                 {it.at(0).get<std::string>(), it.at(1).get<std::vector<std::uint64_t>>()});
         return made;
     } catch (const json::exception&) {
-        return std::nullopt; // a field of another type: the sender is no instance of ours
+        return std::nullopt; // no report, or a field of another type: the sender is none of ours
     }
 }
 
--- a/test/event_log_test.cpp
+++ b/test/event_log_test.cpp
@@ -5,7 +5,11 @@
 #include <set>
 #include <string>
 
+#include <array>
+
 #include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 using namespace azureyoke;
 
@@ -26,3 +30,48 @@
     cr_assert_gt(in_docs.size(), 20U);
     cr_assert(in_code == in_docs);
 }
+
+namespace {
+
+/// Standard output as a pipe whose reader may stall.
+class stalled_output {
+public:
+    stalled_output() {
+        std::array<int, 2> ends{};
+        cr_assert_eq(pipe(ends.data()), 0);
+        cr_assert_geq(dup2(ends[1], STDOUT_FILENO), 0);
+        close(ends[1]);
+        read_end_ = ends[0];
+        (void)fcntl(read_end_, F_SETFL, O_NONBLOCK);
+    }
+
+    /// Reads all that waits.
+    std::string read_all() const {
+        std::string text;
+        std::array<char, 4096> buf{};
+        for (auto n = read(read_end_, buf.data(), buf.size()); n > 0;
+             n = read(read_end_, buf.data(), buf.size()))
+            text.append(buf.data(), static_cast<std::size_t>(n));
+        return text;
+    }
+
+private:
+    int read_end_ = -1;
+};
+
+} // namespace
+
+Test(event_log, reader_that_stalls_holds_nothing_up_and_gets_later_lines, .timeout = 60) {
+    stalled_output output;
+    app::start_logging(app::log_stream::output);
+    app::event_log log("i-1");
+    constexpr int far_more_than_a_pipe_holds = 20'000;
+    for (int i = 0; i < far_more_than_a_pipe_holds; ++i)
+        log.write(app::event_id::request_finished, {{"request", "before"}});
+    cr_assert_neq(output.read_all().find("before"), std::string::npos);
+    log.write(app::event_id::request_finished, {{"request", "after"}});
+    auto text = output.read_all();
+    // What was cut off by the stall may stand before it on a line of its own.
+    cr_assert_neq(text.find("\"after\""), std::string::npos, "%s", text.c_str());
+    cr_assert(text.ends_with("\n"));
+}
