--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -158,7 +158,6 @@
     made.incarnation = incarnation_;
     made.peers = transport::to_string(settings_.peers);
     made.operators = transport::to_string(settings_.operators);
-    made.leaving = draining_ && drain_timer_ == nullptr;
     made.holds_lease = weights_.holds_lease();
     made.reaches_registry = registry_reachable_;
     made.policy_version = state_.policy.policy ? state_.policy.policy->version() : 0;
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -112,7 +112,9 @@
 void peer_board::send_now() {
     auto now = loop_.now();
     next_send_ = now + internal::report_period;
-    auto bytes = to_bytes(source_());
+    auto report = source_();
+    report.leaving = leaving_;
+    auto bytes = to_bytes(report);
     if (bytes.size() > transport::most_datagram_bytes) {
         log_.warn(event_id::peer_message_refused, {{"why", "a report is larger than a datagram"}});
         return;
--- a/azureyoke/src/transport/tcp_stream.h
+++ b/azureyoke/src/transport/tcp_stream.h
@@ -43,8 +43,6 @@
     tcp_stream(tcp_stream&&) = delete;
     tcp_stream& operator=(tcp_stream&&) = delete;
 
-    void set_sink(tcp_stream_sink& sink) { sink_ = &sink; }
-
     /// \brief Sends at once what the socket takes and keeps the rest.
     void write(std::string_view bytes);
 
