--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -40,7 +40,8 @@
                                    forward_world world)
     : loop_(loop), settings_(std::move(settings)), world_(world),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
-      lines_(static_cast<int>(settings_.log_lines_per_second)), history_(internal::most_traces), backends_(loop, {}),
+      lines_(static_cast<int>(settings_.log_lines_per_second)), history_(internal::most_traces),
+      backends_(loop, {}),
       state_(settings_), services_{settings_, loop_,  backends_, world_.dialect, state_,
                                    log_,      lines_, metrics_,  history_,       false},
       peers_(
