The end of a pool frees the calls that are under way

A call under way keeps its sink, which keeps the call; nobody broke the circle when the pool ended first. It cost a process nothing but at its end (backend_pool/end_of_the_pool_frees_a_call_that_is_under_way, failed first).

--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -85,6 +85,13 @@
         close();
     }
 
+    /// Ends the call without a word to its sink.
+    void abandon() {
+        auto keep = shared_from_this();
+        auto sink = std::exchange(sink_, nullptr);
+        close();
+    }
+
     void pause(int call, bool paused) {
         if (carries(call))
             stream_.pause(paused);
@@ -241,6 +248,8 @@
 }
 
 backend_pool::~backend_pool() {
+    for (auto* it : std::exchange(busy_, {}))
+        it->abandon();
     *self_ = nullptr;
     for (auto& [at, list] : idle_) {
         for (auto& it : list)
@@ -268,11 +277,13 @@
                                                  bool reuse,
                                                  std::shared_ptr<backend_answer_sink> sink) {
     auto connection = acquire(to, reuse);
+    busy_.insert(connection.get());
     int number = connection->begin(request, std::move(sink), limits_.connect_timeout);
     return std::make_unique<backend_call>(std::move(connection), number);
 }
 
 void backend_pool::keep(const std::shared_ptr<backend_connection>& connection) {
+    busy_.erase(connection.get());
     auto& list = idle_[connection->to()];
     if (list.size() < limits_.idle_connections)
         list.push_back(connection);
@@ -281,6 +292,7 @@
 }
 
 void backend_pool::forget(backend_connection& connection) {
+    busy_.erase(&connection);
     auto found = idle_.find(connection.to());
     if (found == idle_.end())
         return;
--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "azureyoke/src/transport/http_reader.h"
@@ -86,6 +87,9 @@
     event_loop& loop_;
     backend_pool_limits limits_;
     std::map<address, std::deque<std::shared_ptr<backend_connection>>> idle_;
+    /// With a call on them. Each keeps its sink, which may keep the call: the pool's end frees
+    /// both.
+    std::set<backend_connection*> busy_;
     std::unique_ptr<timer> sweep_timer_;
     std::shared_ptr<backend_pool*> self_;
 };
--- a/test/backend_pool_test.cpp
+++ b/test/backend_pool_test.cpp
@@ -53,3 +53,17 @@
     cr_assert_eq(it.ask(1), 1, "the last of the idle ones is stale too");
     cr_assert_eq(it.server.connections(), 4U);
 }
+
+Test(backend_pool, end_of_the_pool_frees_a_call_that_is_under_way) {
+    auto it = std::make_unique<pool_fixture>();
+    it->server.script.clear(); // it stays silent
+    auto token = std::make_shared<int>(0);
+    std::weak_ptr<int> watched = token;
+    transport::fetch(it->loop, it->pool, it->server.at(), {"GET", "/", {}, {}},
+                     std::chrono::seconds(20), [held = std::move(token)](const auto&) {});
+    while (it->server.requests.empty())
+        it->loop.turn(true);
+    cr_assert_not(watched.expired());
+    it.reset();
+    cr_assert(watched.expired());
+}
