One piece where two did the same; what nothing calls is gone

Found on reading the change again: faults of a file were joined in two places and printed in two, head fields were rendered by two loops, two demonstrations had a printer of steps of their own, the load and the soak had their own seconds between two instants, and a call was cancelled and abandoned by two copies. A server's stop_accepting (and the optional listener it needed), its count of connections and a connection's closed() had no caller. A target is decoded only when it has a percent sign. The silence after which a peer may be cut off has a header of its own. Behaviour is as before.

--- a/azureyoke/src/app/commands.cpp
+++ b/azureyoke/src/app/commands.cpp
@@ -35,11 +35,6 @@
     return text.str();
 }
 
-namespace internal {
-namespace {
-
-constexpr const char* version_text = "azureyoke 0.1.0";
-
 void print_faults(const std::string& name, const std::vector<state::error>& faults) {
     for (const auto& it : faults)
         std::cerr << name << ": " << state::to_string(it) << "\n";
@@ -50,6 +45,11 @@
     return exit_code::no_input;
 }
 
+namespace internal {
+namespace {
+
+constexpr const char* version_text = "azureyoke 0.1.0";
+
 std::optional<transport::address> address_flag(const std::string& flag, const std::string& text) {
     auto at = transport::parse_address(text);
     if (at)
--- a/azureyoke/src/app/commands.h
+++ b/azureyoke/src/app/commands.h
@@ -34,6 +34,12 @@
 /// \returns the whole content of a file, or nothing when it can't be read.
 std::optional<std::string> read_file(const std::string& name);
 
+/// \brief Prints each fault of the file `name` on a line of standard error.
+void print_faults(const std::string& name, const std::vector<state::error>& faults);
+
+/// \brief Says on standard error that the file can't be read. \returns the code to exit with.
+exit_code no_file(const std::string& name);
+
 /// \brief Runs one command of the program. `words` are the words after the program's name.
 exit_code run_command(const std::vector<std::string>& words);
 
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -279,10 +279,7 @@
 void forward_instance::reload(const std::string& text) {
     auto settings = parse_forward_settings(text);
     if (!settings) {
-        std::string why;
-        for (const auto& it : settings.error())
-            why += (why.empty() ? "" : "; ") + state::to_string(it);
-        log_.warn(event_id::settings_refused, {{"why", why}});
+        log_.warn(event_id::settings_refused, {{"why", state::to_string(settings.error())}});
         return;
     }
     bool same = *settings == settings_;
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "azureyoke/src/coordination/fleet_limit.h"
+#include "azureyoke/src/coordination/member_silence.h"
 
 namespace azureyoke::app {
 
--- a/azureyoke/src/coordination/fleet_limit.h
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -4,14 +4,11 @@
 #include <map>
 #include <string>
 
+#include "azureyoke/src/coordination/member_silence.h"
 #include "azureyoke/src/coordination/time.h"
 
 namespace azureyoke::coordination {
 
-/// A member that was not heard for this long may be cut off, and may spend. Reports come twice a
-/// second at least, so that three in a row were lost.
-constexpr duration member_silence = std::chrono::milliseconds(1500);
-
 struct fleet_limit_settings {
     duration silence = member_silence; ///< Then a member's spending is unknown.
     /// A member that spends reports every 100 ms. One that was not heard for three times as long
@@ -31,13 +28,13 @@
 
 /// \brief One workspace's limit over all instances: a bucket of which each instance keeps a copy.
 ///
-/// Load pattern: callers that want more than their rate for long, and in bursts. Each instance
-/// takes its own spending from its copy at once and that of its peers as they report it, by
-/// counters that only rise, so that a lost report is made good by the next one. While a member is
-/// silent its even part of the rate is held back, so that all sides of a cut together stay within
-/// the limit; for a short silence it is given back with the member's next report. A bucket starts
-/// empty, since a restarted instance does not know what was spent before. Answers a hot workspace
-/// whose callers are spread unevenly over the instances. Pure. Not thread safe.
+/// Load pattern: a hot workspace whose callers are spread unevenly over the instances, and want
+/// more than their rate for long or in bursts. Each instance takes its own spending from its copy
+/// at once and that of its peers as they report it, by counters that only rise, so that a lost
+/// report is made good by the next one. While a member is silent its even part of the rate is held
+/// back, so that all sides of a cut together stay within the limit; for a short silence it is given
+/// back with the member's next report. A bucket starts empty, since a restarted instance does not
+/// know what was spent before. Pure. Not thread safe.
 class fleet_limit {
 public:
     fleet_limit(const fleet_limit_settings& settings, double rate, double burst, instant now);
--- a/azureyoke/src/protocol/caller_request.cpp
+++ b/azureyoke/src/protocol/caller_request.cpp
@@ -76,8 +76,9 @@
 }
 
 bool stands_elsewhere(const transport::http_request& request, const std::string& key) {
+    bool escapes = request.target.find('%') != std::string::npos;
     if (request.target.find(key) != std::string::npos ||
-        decoded(request.target).find(key) != std::string::npos)
+        (escapes && decoded(request.target).find(key) != std::string::npos))
         return true;
     if (request.body.find(key) != std::string::npos || stands_escaped(request.body, key))
         return true;
--- a/azureyoke/src/state/error.h
+++ b/azureyoke/src/state/error.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -24,5 +25,7 @@
 
 /// \brief Renders an error as `line L, PATH: RULE`.
 std::string to_string(const error& ec);
+/// \brief Renders all of them in one line.
+std::string to_string(const std::vector<error>& faults);
 
 } // namespace azureyoke::state
--- a/azureyoke/src/state/json_reader.cpp
+++ b/azureyoke/src/state/json_reader.cpp
@@ -146,6 +146,13 @@
     return "line " + std::to_string(ec.line) + ", " + place + ": " + ec.rule;
 }
 
+std::string to_string(const std::vector<error>& faults) {
+    std::string text;
+    for (const auto& it : faults)
+        text += (text.empty() ? "" : "; ") + to_string(it);
+    return text;
+}
+
 result<json_text> parse_json_text(std::string_view text) {
     int line = 1;
     internal::line_recorder recorder(line);
--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -18,12 +18,7 @@
     std::string out;
     out.reserve(request.body.size() + 512);
     out = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const auto& it : request.fields) {
-        out += it.name;
-        out += ": ";
-        out += it.value;
-        out += "\r\n";
-    }
+    append_fields(out, request.fields);
     bool has_body = !request.body.empty() || request.method == "POST" || request.method == "PUT" ||
                     request.method == "PATCH";
     if (has_body)
@@ -79,10 +74,8 @@
     bool carries(int call) const { return !closed_ && sink_ != nullptr && call == calls_; }
 
     void cancel(int call) {
-        if (!carries(call))
-            return;
-        sink_.reset();
-        close();
+        if (carries(call))
+            abandon();
     }
 
     /// Ends the call without a word to its sink.
@@ -99,8 +92,6 @@
 
     const address& to() const { return to_; }
 
-    bool closed() const { return closed_; }
-
     bool is_fresh(instant now) const { return now - idle_since_ < idle_limit_; }
 
     void close() {
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -44,12 +44,7 @@
 
 std::string render_head(int status, const http_fields& fields, bool close) {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " " + reason_of(status) + "\r\n";
-    for (const auto& it : fields) {
-        out += it.name;
-        out += ": ";
-        out += it.value;
-        out += "\r\n";
-    }
+    append_fields(out, fields);
     if (close)
         out += "Connection: close\r\n";
     return out;
@@ -160,7 +155,7 @@
 front_server::front_server(event_loop& loop, const front_limits& limits, handler on_request,
                            refusal_renderer render)
     : loop_(loop), limits_(limits), on_request_(std::move(on_request)), render_(std::move(render)),
-      listener_(std::in_place, loop, [this](int fd) { accept(fd); }) {}
+      listener_(loop, [this](int fd) { accept(fd); }) {}
 
 front_server::~front_server() {
     auto all = std::exchange(connections_, {});
@@ -170,7 +165,7 @@
 
 result<address> front_server::listen(const address& at) {
     sweep_timer_ = loop_.every(internal::sweep_period, [this] { sweep(); });
-    return listener_->listen(at);
+    return listener_.listen(at);
 }
 
 void front_server::accept(int fd) {
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -115,11 +115,6 @@
     /// \brief Closes connections on which no request is being read or answered.
     void close_idle();
 
-    /// \brief Stops accepting connections; open ones go on.
-    void stop_accepting() { listener_.reset(); }
-
-    std::size_t connections() const { return connections_.size(); }
-
     /// \brief Connections on which a request is being read or an answer has not left whole.
     std::size_t busy_connections() const;
 
@@ -133,7 +128,7 @@
     front_limits limits_;
     handler on_request_;
     refusal_renderer render_;
-    std::optional<tcp_listener> listener_;
+    tcp_listener listener_;
     std::map<front_connection*, std::shared_ptr<front_connection>> connections_;
     std::unique_ptr<timer> sweep_timer_;
     bool closing_ = false;
--- a/azureyoke/src/transport/http_message.cpp
+++ b/azureyoke/src/transport/http_message.cpp
@@ -24,6 +24,15 @@
         fields.begin(), fields.end(), [&](const auto& it) { return equal_names(it.name, name); }));
 }
 
+void append_fields(std::string& out, const http_fields& fields) {
+    for (const auto& it : fields) {
+        out += it.name;
+        out += ": ";
+        out += it.value;
+        out += "\r\n";
+    }
+}
+
 std::string_view path_of(std::string_view target) {
     return target.substr(0, target.find('?'));
 }
--- a/azureyoke/src/transport/http_message.h
+++ b/azureyoke/src/transport/http_message.h
@@ -23,6 +23,9 @@
 std::size_t count_fields(const http_fields& fields, std::string_view name);
 bool equal_names(std::string_view a, std::string_view b);
 
+/// \brief Appends the fields as lines of a message's head.
+void append_fields(std::string& out, const http_fields& fields);
+
 struct http_request {
     std::string method;
     std::string target; ///< Path and query, as received.
--- a/standin/demo.cpp
+++ b/standin/demo.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "standin/completion_call.h"
+#include "standin/step_printer.h"
 
 namespace azureyoke::standin {
 
@@ -15,22 +16,6 @@
 namespace internal {
 namespace {
 
-/// Prints one step and remembers whether any failed.
-class step_printer {
-public:
-    void say(const std::string& text) { std::cout << text << std::endl; }
-
-    void expect(bool holds, const std::string& text) {
-        std::cout << (holds ? "ok    " : "FAIL  ") << text << std::endl;
-        failed_ = failed_ || !holds;
-    }
-
-    bool failed() const { return failed_; }
-
-private:
-    bool failed_ = false;
-};
-
 std::string long_prompt() {
     std::string text;
     for (int i = 0; text.size() < 24'000; ++i)
@@ -140,7 +125,7 @@
 } // namespace internal
 
 int run_demo(const fleet_options& options, bool keep, const std::string& describe_file) {
-    internal::step_printer out;
+    step_printer out;
     fleet it(options);
     it.start();
     out.say("started " + std::to_string(it.instances().size()) + " instances in " +
--- a/standin/load.cpp
+++ b/standin/load.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
+#include "azureyoke/src/coordination/time.h"
 #include "standin/completion_call.h"
 #include "standin/quantile.h"
 #include "standin/stream_checker.h"
@@ -22,10 +23,6 @@
 namespace internal {
 namespace {
 
-double seconds_between(instant a, instant b) {
-    return std::chrono::duration<double>(b - a).count();
-}
-
 /// Measurements of the whole load.
 struct samples {
     load_result result;
@@ -71,10 +68,10 @@
         auto now = loop_.now();
         if (first_) {
             first_ = false;
-            all_.first.push_back(seconds_between(sent_, now));
+            all_.first.push_back(coordination::to_seconds(now - sent_));
             all_.first_of[workspace_].push_back(all_.first.back());
         } else {
-            all_.between.push_back(seconds_between(last_, now));
+            all_.between.push_back(coordination::to_seconds(now - last_));
         }
         last_ = now;
     }
--- a/standin/soak_check.cpp
+++ b/standin/soak_check.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "azureyoke/src/coordination/time.h"
+
 namespace azureyoke::standin {
 
 using nlohmann::json;
@@ -12,10 +14,6 @@
 namespace internal {
 namespace {
 
-double seconds_between(instant a, instant b) {
-    return std::chrono::duration<double>(b - a).count();
-}
-
 bool was_killed_during(const soak_history& history, const completion_record& it) {
     auto found = history.cut_at.find(it.instance);
     if (found == history.cut_at.end())
@@ -73,7 +71,7 @@
         if (it.status != 200)
             continue;
         by_workspace[it.workspace].push_back(&it);
-        slack = std::max(slack, seconds_between(it.sent, it.answered));
+        slack = std::max(slack, coordination::to_seconds(it.answered - it.sent));
     }
     for (auto& [space, list] : by_workspace) {
         std::sort(list.begin(), list.end(),
@@ -82,7 +80,8 @@
             double sum = 0;
             for (std::size_t j = i; j < list.size(); ++j) {
                 sum += static_cast<double>(list[j]->used);
-                auto window = seconds_between(list[i]->answered, list[j]->answered) + slack;
+                auto window =
+                    coordination::to_seconds(list[j]->answered - list[i]->answered) + slack;
                 if (sum > limits.burst + limits.rate * window) {
                     history.violations.emplace_back(space + " got more than its rate and burst");
                     return;
