Placement makes the chain of a prompt's parts once for each weights, not for each server

It was hashed anew for every candidate and once more for the chosen one; weights rarely differ among candidates. keeps and surely_keeps differed in one duration and are one function; the cost of reading shared parts again stood twice. The silence of a peer is the members' one. Choices are the same.

--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -40,23 +40,19 @@
     return chain;
 }
 
-bool fleet_router::keeps(const std::string& server, std::uint64_t link, instant now) const {
+bool fleet_router::sent_within(duration life, const std::string& server, std::uint64_t link,
+                               instant now) const {
     auto found = cached_.find(internal::hash_of(server, link));
-    return found != cached_.end() && now - found->second < settings_.cache_life;
-}
-
-bool fleet_router::surely_keeps(const std::string& server, std::uint64_t link, instant now) const {
-    auto found = cached_.find(internal::hash_of(server, link));
-    return found != cached_.end() && now - found->second < settings_.sure_cache;
+    return found != cached_.end() && now - found->second < life;
 }
 
 std::int64_t fleet_router::shared_tokens_to_read(const candidate& it,
                                                  const placement_question& question,
+                                                 const std::vector<std::uint64_t>& chain,
                                                  instant now) const {
-    auto chain = chain_of(question, it.weights);
     std::int64_t tokens = 0;
     for (std::size_t i = 0; i < chain.size(); ++i) {
-        if (tokens > 0 || !keeps(it.server->id, chain[i], now))
+        if (tokens > 0 || !sent_within(settings_.cache_life, it.server->id, chain[i], now))
             tokens += question.parts[i].tokens;
     }
     return tokens;
@@ -106,9 +102,14 @@
     return list;
 }
 
-void fleet_router::weigh(candidate& it, const placement_question& question, instant now) {
+double fleet_router::reread_cost(std::int64_t shared_tokens) const {
+    return static_cast<double>(shared_tokens) / settings_.tokens_per_ms * settings_.reread_weight;
+}
+
+void fleet_router::weigh(candidate& it, const placement_question& question,
+                         const std::vector<std::uint64_t>& chain, instant now) {
     const auto& view = views_[it.server->id];
-    auto shared = shared_tokens_to_read(it, question, now);
+    auto shared = shared_tokens_to_read(it, question, chain, now);
     it.keeps = shared == 0;
     auto own = question.parts.empty() ? 0 : question.parts.back().tokens;
     it.new_tokens = shared + own;
@@ -122,7 +123,7 @@
                 running * settings_.running_ms + waiting * settings_.waiting_ms;
     it.estimate_ms = std::max(ms, internal::least_estimate_ms) * view.slowness;
     it.cost = it.estimate_ms;
-    it.cost += static_cast<double>(shared) / settings_.tokens_per_ms * settings_.reread_weight;
+    it.cost += reread_cost(shared);
     if (it.server->data_centre != settings_.data_centre)
         it.cost += settings_.other_data_centre_ms;
     double errors = std::max(0.0, view.error_share - internal::plain_error_share);
@@ -134,19 +135,18 @@
 // Where the chosen server can get shared parts that it lacks: from a server that was sent them, or,
 // while none is known, from where they were saved.
 void fleet_router::find_cache_source(fleet_choice& choice, const std::vector<candidate>& list,
-                                     const placement_question& question, instant now) {
-    auto chain = chain_of(question, choice.weights);
+                                     const std::vector<std::uint64_t>& chain, instant now) {
     if (chain.empty() || choice.weights == 0)
         return;
     auto last = chain.back();
-    choice.fetch = !surely_keeps(choice.server, last, now);
+    choice.fetch = !sent_within(settings_.sure_cache, choice.server, last, now);
     auto saved = saved_.find(last);
     choice.save = saved == saved_.end() || now - saved->second >= settings_.saved_life;
     if (!choice.fetch)
         return;
     for (const auto& it : list) {
         if (it.server->id != choice.server && it.weights == choice.weights && it.usable &&
-            surely_keeps(it.server->id, last, now))
+            sent_within(settings_.sure_cache, it.server->id, last, now))
             choice.cache_holder = it.server->id;
     }
 }
@@ -156,7 +156,7 @@
     std::int64_t shared = 0;
     for (std::size_t i = 0; i + 1 < question.parts.size(); ++i)
         shared += question.parts[i].tokens;
-    return static_cast<double>(shared) / settings_.tokens_per_ms * settings_.reread_weight;
+    return reread_cost(shared);
 }
 
 std::optional<fleet_choice> fleet_router::choose(const fleet_directory& directory,
@@ -167,8 +167,13 @@
     auto by_home = [](const candidate& a, const candidate& b) {
         return std::pair(a.usable, a.rank) < std::pair(b.usable, b.rank);
     };
-    for (auto& it : list)
-        weigh(it, question, now);
+    std::map<std::int64_t, std::vector<std::uint64_t>> chains; // by weights, which few differ in
+    for (auto& it : list) {
+        auto [chain, fresh] = chains.try_emplace(it.weights);
+        if (fresh)
+            chain->second = chain_of(question, it.weights);
+        weigh(it, question, chain->second, now);
+    }
     bool known =
         std::any_of(list.begin(), list.end(), [](const auto& it) { return it.keeps && it.usable; });
     if (!known) {
@@ -186,7 +191,7 @@
     made.new_tokens = best.new_tokens;
     made.first_answer_ms = best.estimate_ms;
     made.weights = best.weights;
-    find_cache_source(made, list, question, now);
+    find_cache_source(made, list, chains[made.weights], now);
     return made;
 }
 
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "azureyoke/src/coordination/fleet_directory.h"
+#include "azureyoke/src/coordination/member_silence.h"
 #include "azureyoke/src/coordination/time.h"
 #include "azureyoke/src/state/fleet_server.h"
 
@@ -35,7 +36,7 @@
     double reread_weight = 4;
     duration saved_life = std::chrono::seconds(20); ///< Between saves of the same parts.
     std::size_t most_cache_entries = 100'000;
-    duration peer_silence = std::chrono::milliseconds(1500); ///< Then its work is forgotten.
+    duration peer_silence = member_silence; ///< Then its work is forgotten.
 
     friend bool operator==(const fleet_router_settings&, const fleet_router_settings&) = default;
 };
@@ -178,17 +179,21 @@
 
     std::vector<candidate> candidates(const fleet_directory& directory,
                                       const placement_question& question, instant now);
-    void weigh(candidate& it, const placement_question& question, instant now);
+    /// What reading shared parts again counts against a server.
+    double reread_cost(std::int64_t shared_tokens) const;
+    void weigh(candidate& it, const placement_question& question,
+               const std::vector<std::uint64_t>& chain, instant now);
     /// Links of the prompt's shared prefixes under the given weights.
     static std::vector<std::uint64_t> chain_of(const placement_question& question,
                                                std::int64_t weights);
     std::int64_t shared_tokens_to_read(const candidate& it, const placement_question& question,
-                                       instant now) const;
-    bool keeps(const std::string& server, std::uint64_t link, instant now) const;
-    /// \brief As `keeps`, and used so lately that the part is surely there.
-    bool surely_keeps(const std::string& server, std::uint64_t link, instant now) const;
+                                       const std::vector<std::uint64_t>& chain, instant now) const;
+    /// Whether the part was sent to the server within `life`: `cache_life` when it is thought to be
+    /// there, `sure_cache` when it surely is.
+    bool sent_within(duration life, const std::string& server, std::uint64_t link,
+                     instant now) const;
     void find_cache_source(fleet_choice& choice, const std::vector<candidate>& list,
-                           const placement_question& question, instant now);
+                           const std::vector<std::uint64_t>& chain, instant now);
     double home_bonus(const placement_question& question) const;
     void add_peer_work(const peer_view& view, int sign);
     void trim(std::unordered_map<std::uint64_t, instant>& entries, duration life,
