--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -166,9 +166,11 @@
         made.spent[name] = it.spent();
         it.on_reported();
     }
+    auto limit = std::chrono::milliseconds(settings_.weights_limit_ms);
     for (const auto& [model, it] : state_.weights) {
-        if (it.certain)
-            made.named_weights[model] = {it.version, it.age_ms(loop_.now())};
+        auto ages = it.ages(limit, loop_.now());
+        if (!ages.empty())
+            made.named_weights[model] = std::move(ages);
     }
     made.notices = weights_.notices();
     made.work = state_.router.own_work();
@@ -185,8 +187,10 @@
         if (auto* limit = state_.limit(name))
             limit->on_peer_spent(report.instance, report.incarnation, total, now);
     }
-    for (const auto& [model, it] : report.named_weights)
-        learn_weights(model, it.version, now - std::chrono::milliseconds(it.age_ms), true);
+    for (const auto& [model, list] : report.named_weights) {
+        for (const auto& it : list)
+            learn_weights(model, it.version, now - std::chrono::milliseconds(it.age_ms), true);
+    }
     for (const auto& it : report.notices) {
         if (it.changing)
             state_.router.on_change_announced(it.server, it.model, it.version, now);
@@ -233,6 +237,8 @@
     bool heard_of = registry_reachable_ || now - peer_reached_at_ < internal::registry_patience;
     state_.policy_may_be_old = !heard_of && now - registry_lost_ >= internal::registry_patience;
     state_.router.expire_peers(now);
+    for (auto& [model, it] : state_.weights)
+        it.trim(std::chrono::milliseconds(settings_.weights_limit_ms), now);
     bool due = state_.router.news_for_peers();
     for (const auto& [name, it] : state_.limits)
         due = due || it.report_due();
--- a/azureyoke/src/app/forward_state.cpp
+++ b/azureyoke/src/app/forward_state.cpp
@@ -77,7 +77,7 @@
         it.set_members(all, silent, now);
 }
 
-const named_weights* forward_state::wanted(const std::string& model) const {
+const coordination::named_weights* forward_state::wanted(const std::string& model) const {
     auto found = weights.find(model);
     return found == weights.end() ? nullptr : &found->second;
 }
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,48 +14,12 @@
 #include "azureyoke/src/coordination/fleet_directory.h"
 #include "azureyoke/src/coordination/fleet_limit.h"
 #include "azureyoke/src/coordination/fleet_router.h"
+#include "azureyoke/src/coordination/named_weights.h"
 #include "azureyoke/src/coordination/service_retry_budget.h"
 #include "azureyoke/src/transport/backend_pool.h"
 
 namespace azureyoke::app {
 
-/// \brief Weights that operators want for a model.
-struct named_weights {
-    std::int64_t version = 0;                         ///< The newest.
-    std::map<std::int64_t, transport::instant> since; ///< When each one was named.
-    bool certain = false; ///< Whether the time of the newest one is known, and not guessed.
-
-    /// \returns whether the version is new. A certain time replaces a guessed one, and of two
-    /// certain ones the earlier holds: each is when somebody learned of it.
-    bool learn(std::int64_t number, transport::instant at, bool is_certain) {
-        bool fresh = number > version;
-        if (fresh) {
-            version = number;
-            since[number] = at;
-            certain = is_certain;
-        } else if (number == version && is_certain) {
-            since[number] = certain ? std::min(since[number], at) : at;
-            certain = true;
-        }
-        return fresh;
-    }
-
-    std::int64_t age_ms(transport::instant now) const {
-        auto found = since.find(version);
-        return found == since.end() ? 0 : (now - found->second) / std::chrono::milliseconds(1);
-    }
-
-    /// \returns the newest version that was known for `age`; 0 when none was.
-    std::int64_t known_for(transport::duration age, transport::instant now) const {
-        std::int64_t found = 0;
-        for (const auto& [number, at] : since)
-            found = now - at >= age ? number : found;
-        return found;
-    }
-
-    friend bool operator==(const named_weights&, const named_weights&) = default;
-};
-
 /// \brief What an instance believes of policy, fleet and limits. Not thread safe.
 struct forward_state {
     explicit forward_state(const forward_settings& settings);
@@ -69,7 +32,7 @@
     /// \returns the limit of a workspace, or null when it has none.
     coordination::fleet_limit* limit(const std::string& workspace);
     void set_members(int all, int silent, transport::instant now);
-    const named_weights* wanted(const std::string& model) const;
+    const coordination::named_weights* wanted(const std::string& model) const;
 
     policy_copy policy;
     /// The registry and all peers have been silent for long: what is not known may exist.
@@ -77,7 +40,7 @@
     coordination::fleet_directory directory;
     coordination::fleet_router router;
     std::map<std::string, coordination::fleet_limit> limits;
-    std::map<std::string, named_weights> weights;
+    std::map<std::string, coordination::named_weights> weights; ///< By model.
     int instances = 1;
     int silent_instances = 0;
 
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -12,8 +12,11 @@
     for (const auto& it : report.notices)
         notices.push_back({it.server, it.model, it.version, it.changing});
     auto named = json::object();
-    for (const auto& [model, it] : report.named_weights)
-        named[model] = {it.version, it.age_ms};
+    for (const auto& [model, list] : report.named_weights) {
+        auto& ages = named[model] = json::array();
+        for (const auto& it : list)
+            ages.push_back({it.version, it.age_ms});
+    }
     auto work = json::object();
     for (const auto& [server, it] : report.work)
         work[server] = {it.in_flight, it.unread_tokens};
@@ -53,9 +56,11 @@
         made.holds_lease = body[5].get<bool>();
         made.policy_version = body[6].get<std::int64_t>();
         made.spent = body[7].get<std::map<std::string, double>>();
-        for (const auto& [model, it] : body[8].items())
-            made.named_weights[model] = {it.at(0).get<std::int64_t>(),
-                                         it.at(1).get<std::int64_t>()};
+        for (const auto& [model, list] : body[8].items()) {
+            for (const auto& it : list)
+                made.named_weights[model].push_back(
+                    {it.at(0).get<std::int64_t>(), it.at(1).get<std::int64_t>()});
+        }
         for (const auto& it : body[9])
             made.notices.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
                                     it.at(2).get<std::int64_t>(), it.at(3).get<bool>()});
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "azureyoke/src/coordination/fleet_router.h"
+#include "azureyoke/src/coordination/named_weights.h"
 
 namespace azureyoke::app {
 
@@ -21,14 +22,6 @@
     friend bool operator==(const weights_notice&, const weights_notice&) = default;
 };
 
-/// \brief Weights that operators want, and for how long the sender has known.
-struct weights_age {
-    std::int64_t version = 0;
-    std::int64_t age_ms = 0;
-
-    friend bool operator==(const weights_age&, const weights_age&) = default;
-};
-
 /// \brief What one instance tells the others, in one datagram.
 struct peer_report {
     std::string instance;
@@ -40,7 +33,8 @@
     bool reaches_registry = false;
     std::int64_t policy_version = 0;
     std::map<std::string, double> spent; ///< Of each workspace's limit, since its start.
-    std::map<std::string, weights_age> named_weights; ///< By model.
+    /// By model, oldest first: those whose time limit has not passed and the newest due ones.
+    std::map<std::string, std::vector<coordination::weights_age>> named_weights;
     std::vector<weights_notice> notices;
     std::map<std::string, coordination::server_work> work; ///< Of the sender, by server.
     std::vector<coordination::placed_prompt> placed;       ///< Since its last report.
--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -47,7 +47,7 @@
             if (wanted == nullptr)
                 continue;
             list.push_back({id, model, state_.router.weights_of(state_.directory, id, model),
-                            wanted->version, state_.router.in_flight(id)});
+                            wanted->newest(), state_.router.in_flight(id)});
         }
     }
     return list;
