A server that leaves gets no more requests; one that asks for rest is left alone

An answer of a wrong server (421) says nothing of the right one. - Refusals that tell a known time no longer cut it to a third of the caller's time.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -18,6 +18,8 @@
                        services_.loop.now());
     if (note.weights && !question_.model.empty())
         router.on_weights(choice_->server, question_.model, *note.weights);
+    if (!note.wrong_server)
+        learn_from(note); // of another server, or of one that took other weights meanwhile
     if (note.not_run || note.wrong_server) {
         use_ = answer_use::reject;
         return answer_verdict::take;
@@ -42,6 +44,30 @@
     return answer_verdict::take;
 }
 
+void forward_session::learn_from(const answer_note& note) {
+    auto now = services_.loop.now();
+    auto& state = services_.state;
+    const auto& server = choice_->server;
+    std::int64_t left_out = 0;
+    if (!note.ignored.empty() &&
+        services_.lines.take(event_id::answer_field_ignored, now, left_out))
+        services_.log.warn(event_id::answer_field_ignored,
+                           {{"backend_server", server},
+                            {"why", note.ignored},
+                            {"left_out", std::to_string(left_out)}});
+    if (note.leaving && state.directory.on_departure({server, last_born_ms_},
+                                                     coordination::departure_source::answer, now))
+        services_.log.write(event_id::replica_leaves,
+                            {{"backend_server", server}, {"said_by", "answer"}});
+    if (!note.rest_s || *note.rest_s <= 0)
+        return;
+    state.router.on_rest(server, *note.rest_s, now);
+    if (services_.lines.take(event_id::replica_rests, now, left_out))
+        services_.log.write(event_id::replica_rests, {{"backend_server", server},
+                                                      {"seconds", std::to_string(*note.rest_s)},
+                                                      {"left_out", std::to_string(left_out)}});
+}
+
 void forward_session::start_answer(const transport::http_head& head) {
     // A stream that may go on elsewhere has no length yet.
     std::optional<std::uint64_t> length;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -175,6 +175,7 @@
     made.notices = weights_.notices();
     made.work = state_.router.own_work();
     made.placed = state_.router.take_placed();
+    made.departures = state_.directory.fresh_departures(loop_.now());
     state_.router.on_told();
     return made;
 }
@@ -197,6 +198,11 @@
         else
             state_.router.on_weights(it.server, it.model, it.version);
     }
+    for (const auto& it : report.departures) {
+        if (state_.directory.on_departure(it, coordination::departure_source::peer, now))
+            log_.write(event_id::replica_leaves,
+                       {{"backend_server", it.server}, {"said_by", report.instance}});
+    }
     state_.router.on_peer_work(report.instance, report.work, now);
     for (const auto& it : report.placed)
         state_.router.on_peer_placed(it, now);
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -131,6 +131,9 @@
     std::optional<int> running;
     std::optional<int> waiting;
     std::optional<std::int64_t> weights;
+    bool leaving = false;         ///< The server takes no new requests from now on.
+    std::optional<double> rest_s; ///< The server wants no request from this instance so long.
+    std::string ignored;          ///< Which field was not taken as it came, and why; or empty.
 
     friend bool operator==(const answer_note&, const answer_note&) = default;
 };
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "azureyoke/src/app/forward_rules.h"
+#include "azureyoke/src/coordination/return_time.h"
 
 namespace azureyoke::app {
 
@@ -102,7 +103,7 @@
            "workspace \"" + workspace_->name + "\" has used its rate and burst: " + text(cost) +
                " asked, " + text(limit->available(now)) + " left of " + text(limit->burst()) +
                " at " + text(limit->rate()) + " a second",
-           std::min(wait, ms_left() / 3000));
+           soon(wait));
     return false;
 }
 
@@ -129,8 +130,7 @@
         return;
     }
     if (!place()) {
-        refuse(may_have_run_ ? 502 : 503, "no backend server of pool \"" + pool_ + "\" is usable",
-               retry_no_server_s);
+        refuse_unplaced();
         return;
     }
     double patience = patience_ms(*route_, ms_left());
@@ -139,12 +139,25 @@
         last_server_ = choice_->server;
         last_estimate_ms_ = choice_->first_answer_ms;
         choice_.reset();
-        refuse(503, "the wait would be longer than the caller's time", excess + least_retry_s);
+        refuse(503, "the wait would be longer than the caller's time",
+               soon(excess + least_retry_s));
         return;
     }
     send();
 }
 
+void forward_session::refuse_unplaced() {
+    int status = may_have_run_ ? 502 : 503;
+    auto rest =
+        services_.state.router.rest_left(services_.state.directory, pool_, services_.loop.now());
+    if (rest)
+        refuse(status, "each usable backend server of pool \"" + pool_ + "\" asked for rest",
+               coordination::to_seconds(coordination::return_after(*rest, question_.number)));
+    else
+        refuse(status, "no backend server of pool \"" + pool_ + "\" is usable",
+               soon(retry_no_server_s));
+}
+
 forward_directive forward_session::directive() const {
     forward_directive made;
     made.server = choice_->server;
@@ -197,6 +210,7 @@
     use_ = answer_use::pass;
     held_ = {};
     last_server_ = choice_->server;
+    last_born_ms_ = server->born_ms;
     last_estimate_ms_ = choice_->first_answer_ms;
     last_new_tokens_ = choice_->new_tokens;
     note("sent to " + last_server_ + " for " + std::to_string(last_new_tokens_) +
@@ -248,7 +262,7 @@
         dispatch();
         return;
     }
-    refuse(may_have_run_ ? 502 : 503, why, retry_no_server_s);
+    refuse(may_have_run_ ? 502 : 503, why, soon(retry_no_server_s));
 }
 
 void forward_session::on_time_over() {
@@ -276,6 +290,10 @@
     call_.reset();
 }
 
+double forward_session::soon(double seconds) const {
+    return std::max(0.0, std::min(seconds, ms_left() / 3000));
+}
+
 void forward_session::refuse(int status, const std::string& why,
                              std::optional<double> retry_after_s) {
     if (ended_)
@@ -286,8 +304,6 @@
         finish(event_id::request_refused, "stream cut: " + why);
         return;
     }
-    if (retry_after_s && deadline_ != transport::instant())
-        retry_after_s = std::max(0.0, std::min(*retry_after_s, ms_left() / 3000));
     bool repeatable_later = status == 503 || status == 429;
     auto fields = services_.dialect.refusal_fields(intent_.request_id,
                                                    repeatable_later ? retry_after_s : std::nullopt);
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -42,12 +42,15 @@
     bool within_limit();
     void dispatch();
     bool place();
+    void refuse_unplaced();
     void send();
     forward_directive directive() const;
     /// Address of the store that keeps caches; empty when there is none.
     std::string kept_cache() const;
     /// Where the chosen server may fetch cached parts that it lacks.
     std::string cache_source() const;
+    /// What the answer's head says of its server, whatever becomes of the answer.
+    void learn_from(const answer_note& note);
     void start_answer(const transport::http_head& head);
     void note_first_answer();
     void pass_on(std::string_view bytes);
@@ -58,6 +61,8 @@
     void on_time_over();
     void on_caller_gone();
     void settle(coordination::call_end how);
+    /// A guess of when to come back, kept within the time that callers wait for a return.
+    double soon(double seconds) const;
     /// Answers in place of a server, or cuts an answer that has begun.
     void refuse(int status, const std::string& why, std::optional<double> retry_after_s = {});
     void finish(event_id how, const std::string& detail);
@@ -84,6 +89,7 @@
     transport::http_response held_;
     coordination::event_relay relay_;
     std::string last_server_;
+    std::int64_t last_born_ms_ = 0;    ///< Of its registration at the last send.
     std::int64_t last_new_tokens_ = 0; ///< Of the last send, as is the estimate.
     double last_estimate_ms_ = 0;
     double first_answer_ms_ = 0;
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -23,6 +23,9 @@
     auto placed = json::array();
     for (const auto& it : report.placed)
         placed.push_back({it.server, it.links});
+    auto departures = json::array();
+    for (const auto& it : report.departures)
+        departures.push_back({it.server, it.born_ms});
     json body = {report.instance,
                  report.incarnation,
                  report.peers,
@@ -35,7 +38,8 @@
                  notices,
                  report.reaches_registry,
                  work,
-                 placed};
+                 placed,
+                 departures};
     std::string bytes;
     json::to_cbor(body, bytes);
     return bytes;
@@ -45,7 +49,7 @@
     try {
         // Sizes that can't be are thrown even where faults are not.
         auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-        if (!body.is_array() || body.size() != 13)
+        if (!body.is_array() || body.size() != 14)
             return std::nullopt;
         peer_report made;
         made.instance = body[0].get<std::string>();
@@ -70,6 +74,8 @@
         for (const auto& it : body[12])
             made.placed.push_back(
                 {it.at(0).get<std::string>(), it.at(1).get<std::vector<std::uint64_t>>()});
+        for (const auto& it : body[13])
+            made.departures.push_back({it.at(0).get<std::string>(), it.at(1).get<std::int64_t>()});
         return made;
     } catch (const json::exception&) {
         return std::nullopt; // no report, or a field of another type: the sender is none of ours
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -38,6 +38,7 @@
     std::vector<weights_notice> notices;
     std::map<std::string, coordination::server_work> work; ///< Of the sender, by server.
     std::vector<coordination::placed_prompt> placed;       ///< Since its last report.
+    std::vector<coordination::departure> departures;       ///< Servers that told the sender of it.
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/azureyoke/src/coordination/fleet_directory.cpp
+++ b/azureyoke/src/coordination/fleet_directory.cpp
@@ -1,14 +1,45 @@
 #include "azureyoke/src/coordination/fleet_directory.h"
 
+#include <algorithm>
+
 namespace azureyoke::coordination {
 
 fleet_directory::fleet_directory(const directory_settings& settings) : settings_(settings) {}
 
 void fleet_directory::put(const state::fleet_server& entry) {
-    servers_[entry.id] = entry;
+    auto& kept = servers_[entry.id];
+    kept = entry;
+    kept.leaving = entry.leaving || said_to_leave(entry);
     lapsed_.erase(entry.id);
 }
 
+bool fleet_directory::said_to_leave(const state::fleet_server& entry) const {
+    auto found = departures_.find(entry.id);
+    return found != departures_.end() && entry.born_ms <= found->second.born_ms;
+}
+
+bool fleet_directory::on_departure(const departure& what, departure_source source, instant now) {
+    auto [found, fresh] = departures_.try_emplace(what.server);
+    auto& told = found->second;
+    bool known = !fresh && what.born_ms <= told.born_ms;
+    if (known && (source == departure_source::peer || told.source == departure_source::answer))
+        return false;
+    told = {std::max(told.born_ms, what.born_ms), source, now};
+    auto entry = servers_.find(what.server);
+    if (entry != servers_.end() && said_to_leave(entry->second))
+        entry->second.leaving = true;
+    return !known;
+}
+
+std::vector<departure> fleet_directory::fresh_departures(instant now) const {
+    std::vector<departure> list;
+    for (const auto& [id, it] : departures_) {
+        if (it.source == departure_source::answer && now - it.at < settings_.departure_news)
+            list.push_back({id, it.born_ms});
+    }
+    return list;
+}
+
 void fleet_directory::remove(const std::string& id, instant now) {
     if (!servers_.contains(id))
         return;
@@ -44,6 +75,9 @@
         lapsed_.erase(id);
         servers_.erase(id);
     }
+    std::erase_if(departures_, [&](const auto& it) {
+        return !servers_.contains(it.first) && now - it.second.at >= settings_.departure_memory;
+    });
     return gone;
 }
 
--- a/azureyoke/src/coordination/fleet_directory.h
+++ b/azureyoke/src/coordination/fleet_directory.h
@@ -15,13 +15,32 @@
     /// return; servers need about two seconds to register again.
     duration return_grace = std::chrono::milliseconds(1800);
 
+    /// What servers said of their leaving is remembered for this long after their entries went:
+    /// longer than a server goes on after it has said so.
+    duration departure_memory = std::chrono::minutes(10);
+    /// Departures that peers are told of are this young; reports of half a second may be lost.
+    duration departure_news = std::chrono::seconds(5);
+
     friend bool operator==(const directory_settings&, const directory_settings&) = default;
 };
 
+/// \brief A server said in an answer that it leaves.
+struct departure {
+    std::string server;
+    std::int64_t born_ms = 0; ///< Of its registration when it was asked.
+
+    friend bool operator==(const departure&, const departure&) = default;
+};
+
+/// \brief How an instance knows of a departure.
+enum class departure_source { answer, peer };
+
 /// \brief The backend servers that may be used, as the registry lists them.
 ///
 /// A server whose entry went away is used no more, except that entries which went while the
-/// registry was away stay usable for a short grace after its return. Pure. Not thread safe.
+/// registry was away stay usable for a short grace after its return. A server that said itself
+/// that it leaves is left out although the registry, silent or late, lists it as ready.
+/// Pure. Not thread safe.
 class fleet_directory {
 public:
     explicit fleet_directory(const directory_settings& settings);
@@ -32,6 +51,12 @@
     /// \brief The registry's whole list: entries that it lacks are removed.
     void replace_all(const std::vector<state::fleet_server>& entries, instant now);
 
+    /// \brief The server takes no new requests, whatever the registry says, until it is started
+    /// anew. It may not be registered yet. \returns whether that is news.
+    bool on_departure(const departure& what, departure_source source, instant now);
+    /// \brief Departures that servers told this instance lately, to tell the peers.
+    std::vector<departure> fresh_departures(instant now) const;
+
     /// \brief The registry answers again after it did not.
     void on_registry_back(instant now) { back_at_ = now; }
 
@@ -48,9 +73,18 @@
     bool empty() const { return servers_.empty(); }
 
 private:
+    struct told_departure {
+        std::int64_t born_ms = 0;
+        departure_source source = departure_source::peer;
+        instant at;
+    };
+
+    bool said_to_leave(const state::fleet_server& entry) const;
+
     directory_settings settings_;
     std::map<std::string, state::fleet_server> servers_;
     std::map<std::string, instant> lapsed_; ///< Usable until then although not listed.
+    std::map<std::string, told_departure> departures_;
     std::optional<instant> back_at_;
 };
 
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -86,6 +86,8 @@
             question.excluded.end())
             continue;
         const auto& view = views_[it->id];
+        if (now < view.rests_until)
+            continue;
         int connections = view.own.in_flight + view.peers.in_flight;
         if (question.most_connections > 0 && connections >= question.most_connections)
             continue; // one more would be reset
@@ -311,6 +313,25 @@
     }
 }
 
+void fleet_router::on_rest(const std::string& server, double seconds, instant now) {
+    auto wanted = from_seconds(std::min(seconds, to_seconds(settings_.longest_rest)));
+    auto& view = views_[server];
+    view.rests_until = std::max(view.rests_until, now + wanted);
+}
+
+std::optional<duration> fleet_router::rest_left(const fleet_directory& directory,
+                                                const std::string& pool, instant now) const {
+    std::optional<duration> least;
+    for (const auto* it : directory.usable(pool)) {
+        auto view = views_.find(it->id);
+        if (view == views_.end() || view->second.rests_until <= now)
+            continue;
+        auto left = view->second.rests_until - now;
+        least = least ? std::min(*least, left) : left;
+    }
+    return least;
+}
+
 void fleet_router::on_change_announced(const std::string& server, const std::string& model,
                                        std::int64_t version, instant now) {
     auto& view = views_[server];
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -37,6 +37,8 @@
     duration saved_life = std::chrono::seconds(20); ///< Between saves of the same parts.
     std::size_t most_cache_entries = 100'000;
     duration peer_silence = member_silence; ///< Then its work is forgotten.
+    /// A server that asks to be left alone for longer is tried again after this.
+    duration longest_rest = std::chrono::hours(1);
 
     friend bool operator==(const fleet_router_settings&, const fleet_router_settings&) = default;
 };
@@ -101,7 +103,8 @@
 /// peers tell where its parts are and what waits there. A hot prompt spills to further servers as
 /// soon as the wait costs more than reading the parts again. A server that fails or
 /// refuses is left out for a time that doubles, a slow one by its learned speed; while all are
-/// left out, the one that comes back first is used. Pure. Not thread safe.
+/// left out, the one that comes back first is used. A server that asked for rest gets nothing
+/// until its rest is over, also when no other is left. Pure. Not thread safe.
 class fleet_router {
 public:
     explicit fleet_router(const fleet_router_settings& settings);
@@ -115,6 +118,12 @@
     void on_first_answer(const fleet_choice& choice, duration took, instant now);
     void on_load(const std::string& server, int running, int waiting, instant now);
     void on_end(const fleet_choice& choice, call_end how, instant now);
+    /// \brief The server wants no request from this instance for so many seconds, not below 0.
+    void on_rest(const std::string& server, double seconds, instant now);
+    /// \returns the time until the first resting server of the pool may be used again; nothing
+    /// when none rests.
+    std::optional<duration> rest_left(const fleet_directory& directory, const std::string& pool,
+                                      instant now) const;
     /// \brief The server was ordered to take these weights and refuses new work until it has.
     void on_change_announced(const std::string& server, const std::string& model,
                              std::int64_t version, instant now);
@@ -155,6 +164,7 @@
         instant suspended_until;
         duration suspension{};
         instant changing_until;
+        instant rests_until; ///< It asked for no request before that; kept even if all others fail.
         double slowness = 1; ///< Learned time to the first answer against the estimate.
         double error_share = 0;
         std::map<std::string, std::int64_t> weights;
--- a/test/fleet_directory_test.cpp
+++ b/test/fleet_directory_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 using namespace azureyoke;
+using coordination::departure_source;
 using coordination::fleet_directory;
 using coordination::instant;
 
@@ -77,3 +78,69 @@
     directory.remove("a", start + std::chrono::seconds(5));
     cr_assert(directory.find("a") == nullptr);
 }
+
+namespace {
+
+state::fleet_server born(const std::string& id, std::int64_t at) {
+    auto made = server(id);
+    made.born_ms = at;
+    return made;
+}
+
+} // namespace
+
+Test(fleet_directory, server_that_said_that_it_leaves_is_left_out_although_the_registry_lists_it) {
+    fleet_directory directory({});
+    directory.put(born("a", 7));
+    cr_assert(directory.on_departure({"a", 7}, departure_source::answer, start));
+    cr_assert(directory.usable("p").empty());
+    directory.put(born("a", 7));
+    directory.replace_all({born("a", 7)}, start);
+    cr_assert(directory.usable("p").empty(), "the registry is late");
+    cr_assert_not(directory.on_departure({"a", 7}, departure_source::answer, start), "known");
+}
+
+Test(fleet_directory, server_that_started_anew_is_used_after_it_had_left) {
+    fleet_directory directory({});
+    directory.put(born("a", 7));
+    (void)directory.on_departure({"a", 7}, departure_source::answer, start);
+    directory.put(born("a", 9));
+    cr_assert_eq(directory.usable("p").size(), 1U);
+    cr_assert_not(directory.on_departure({"a", 7}, departure_source::peer, start));
+    cr_assert_eq(directory.usable("p").size(), 1U, "an old departure is told late");
+}
+
+Test(fleet_directory, departure_is_remembered_while_its_entry_lapses) {
+    fleet_directory directory({});
+    directory.put(born("a", 7));
+    (void)directory.on_departure({"a", 7}, departure_source::answer, start);
+    directory.remove("a", start);
+    (void)directory.expire(start + std::chrono::minutes(1));
+    directory.put(born("a", 7));
+    cr_assert(directory.usable("p").empty());
+}
+
+Test(fleet_directory, departure_told_before_the_registration_is_known_counts) {
+    fleet_directory directory({});
+    (void)directory.on_departure({"a", 7}, departure_source::peer, start);
+    directory.put(born("a", 7));
+    cr_assert(directory.usable("p").empty());
+}
+
+Test(fleet_directory, departures_are_forgotten_long_after_the_server_has_gone) {
+    fleet_directory directory({});
+    (void)directory.on_departure({"a", 7}, departure_source::peer, start);
+    (void)directory.expire(start + std::chrono::minutes(11));
+    directory.put(born("a", 7));
+    cr_assert_eq(directory.usable("p").size(), 1U);
+}
+
+Test(fleet_directory, peers_are_told_only_what_servers_said_here_and_lately) {
+    fleet_directory directory({});
+    (void)directory.on_departure({"a", 7}, departure_source::answer, start);
+    (void)directory.on_departure({"b", 8}, departure_source::peer, start);
+    auto told = directory.fresh_departures(start);
+    cr_assert_eq(told.size(), 1U);
+    cr_assert(told[0] == (coordination::departure{"a", 7}));
+    cr_assert(directory.fresh_departures(start + std::chrono::seconds(6)).empty());
+}
--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -242,3 +242,41 @@
     it.router.on_peer_work("peer", {{"s0", {1, 0}}}, start);
     cr_assert_not(it.router.choose(it.directory, question, start).has_value());
 }
+
+Test(fleet_router, resting_server_gets_nothing_until_its_rest_is_over) {
+    router_fixture it(2);
+    it.router.on_rest("s0", 2, start);
+    it.router.on_rest("s0", 0.5, start + 100 * ms); // a shorter one does not end the first
+    for (int i = 0; i < 20; ++i) {
+        auto question = router_fixture::prompt("t" + std::to_string(i));
+        cr_assert_eq(it.router.choose(it.directory, question, start + 1999 * ms)->server, "s1");
+    }
+    std::set<std::string> used;
+    for (int i = 0; i < 20; ++i) {
+        auto question = router_fixture::prompt("t" + std::to_string(i));
+        used.insert(it.router.choose(it.directory, question, start + 2000 * ms)->server);
+    }
+    cr_assert_eq(used.size(), 2U);
+}
+
+Test(fleet_router, pool_that_rests_whole_gets_nothing_and_tells_when_its_first_server_returns) {
+    router_fixture it(2);
+    auto question = router_fixture::prompt("t");
+    cr_assert_not(it.router.rest_left(it.directory, "p", start).has_value());
+    it.router.on_rest("s0", 3, start);
+    it.router.on_rest("s1", 1, start);
+    cr_assert_not(it.router.choose(it.directory, question, start + 400 * ms).has_value());
+    cr_assert(*it.router.rest_left(it.directory, "p", start + 400 * ms) == 600 * ms);
+    cr_assert(it.router.choose(it.directory, question, start + 1000 * ms).has_value());
+}
+
+Test(fleet_router, endless_rest_is_bounded_and_ends_with_the_servers_restart) {
+    router_fixture it(1);
+    auto question = router_fixture::prompt("t");
+    it.router.on_rest("s0", 1e300, start);
+    cr_assert_not(it.router.choose(it.directory, question, start + std::chrono::minutes(59)));
+    cr_assert(it.router.choose(it.directory, question, start + std::chrono::hours(1)));
+    it.router.on_rest("s0", 3, start + std::chrono::hours(1));
+    it.router.forget("s0");
+    cr_assert(it.router.choose(it.directory, question, start + std::chrono::hours(1)));
+}
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -43,6 +43,9 @@
         made.not_run = transport::find_field(head.fields, "not-run").has_value();
         made.wrong_server = head.status == 421;
         made.whole = transport::find_field(head.fields, "stamp").has_value();
+        made.leaving = transport::find_field(head.fields, "leaves").has_value();
+        if (auto rest = transport::find_field(head.fields, "rest"))
+            made.rest_s = std::stod(*rest);
         return made;
     }
 
@@ -231,6 +234,13 @@
         return &home_of(id) == &first ? second : first;
     }
 
+    void wait(transport::duration time) {
+        bool over = false;
+        auto timer = loop.after(time, [&] { over = true; });
+        while (!over)
+            loop.turn(true);
+    }
+
     std::size_t arrivals() const { return first.requests.size() + second.requests.size(); }
 
     /// \brief Both servers give the same next answers.
--- a/test/forward_session_test.cpp
+++ b/test/forward_session_test.cpp
@@ -237,3 +237,73 @@
     it.script({good});
     cr_assert_eq(it.ask({{"id", "q1"}, {"model", "m"}}).status, 200);
 }
+
+namespace {
+
+const std::string leaves =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nleaves: 1\r\nContent-Length: 4\r\n\r\nbody";
+
+std::string rests(const std::string& seconds) {
+    return "HTTP/1.1 503 S\r\nid: ID\r\nnot-run: 1\r\nrest: " + seconds +
+           "\r\nContent-Length: 0\r\n\r\n";
+}
+
+} // namespace
+
+Test(forward_session, server_that_says_in_an_answer_that_it_leaves_gets_no_more_requests) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 1));
+    auto& home = it.home_of("q0");
+    auto& other = it.other_of("q0");
+    home.script.push_back({leaves});
+    cr_assert_eq(it.ask({{"id", "q0"}}).status, 200, "its answer is passed on");
+    for (int i = 1; i <= 20; ++i) {
+        other.script.push_back({good});
+        cr_assert_eq(it.ask({{"id", "q" + std::to_string(i)}}).status, 200);
+    }
+    cr_assert_eq(home.requests.size(), 1U);
+    cr_assert_eq(it.state->directory.fresh_departures(it.loop.now()).size(), 1U);
+}
+
+Test(forward_session, answer_of_a_wrong_server_does_not_say_that_the_right_one_leaves) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 1));
+    it.home_of("q0").script.push_back(
+        {"HTTP/1.1 421 M\r\nid: ID\r\nleaves: 1\r\nContent-Length: 0\r\n\r\n"});
+    it.other_of("q0").script.push_back({good});
+    cr_assert_eq(it.ask({{"id", "q0"}}).status, 200);
+    cr_assert_eq(it.state->directory.usable("p").size(), 2U);
+}
+
+Test(forward_session, request_that_a_resting_server_turned_away_goes_elsewhere_at_once) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 1));
+    auto& home = it.home_of("q0");
+    auto& other = it.other_of("q0");
+    home.script.push_back({rests("30")});
+    for (int i = 0; i <= 20; ++i) {
+        if (i == 1)
+            it.wait(std::chrono::milliseconds(300)); // longer than the pause after any refusal
+        other.script.push_back({good});
+        cr_assert_eq(it.ask({{"id", "q" + std::to_string(i)}}).status, 200);
+    }
+    cr_assert_eq(home.requests.size(), 1U);
+}
+
+Test(forward_session, pool_that_rests_whole_is_left_alone_and_the_caller_told_when_to_return) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 3));
+    it.home_of("q0").script.push_back({rests("40")});
+    it.other_of("q0").script.push_back({rests("20")});
+    for (int i = 0; i < 5; ++i) {
+        auto got = it.ask({{"id", "q" + std::to_string(i)}});
+        cr_assert_eq(got.status, 503);
+        auto wait = std::stod(*transport::find_field(got.fields, "Retry-After"));
+        cr_assert(wait > 18 && wait < 26, "%f", wait);
+    }
+    cr_assert_eq(it.arrivals(), 2U);
+}
+
+Test(forward_session, rest_of_no_time_is_none) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 1));
+    it.script({rests("0")});
+    it.script({good});
+    cr_assert_eq(it.ask().status, 200);
+    cr_assert_not(it.state->router.rest_left(it.state->directory, "p", it.loop.now()));
+}
