Bytes without end from a server are bounded in time and memory; a stream without events ends

Cause, by replay with a stand-in that sends without end (test/endless_bytes_test): interim answers (1xx) and the bodies of stale answers were dropped for ever; a rejection whose body never ended kept its request until the deadline (504 in place of another server); a stream with a byte now and then and no event went on until the route's time; failures in chunks, fetched answers and unfinished events were collected without bound. Change: 8 interim answers, 256 KB of stale bodies, 16 KB or 100 ms of a rejection, 64 KB held (then passed on), 4 MB fetched, 256 KB for one event; a stream without an event for as long as callers wait for one (now also eight times the longest pause, gapTargetMs) fails its server and goes on elsewhere where it may. The same longer patience holds before the first event. Requests that the caller's server refuses unread (malformed, too large, too slow) are counted and logged on route too.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -22,6 +22,8 @@
         learn_from(note); // of another server, or of one that took other weights meanwhile
     if (note.not_run || note.wrong_server) {
         use_ = answer_use::reject;
+        rejection_bytes_ = 0;
+        answer_timer_ = services_.loop.after(rejection_wait, [this] { on_not_run(); });
         return answer_verdict::take;
     }
     bool success = head.status >= 200 && head.status < 300;
@@ -95,15 +97,62 @@
         return;
     switch (use_) {
     case answer_use::reject:
+        rejection_bytes_ += piece.size();
+        if (rejection_bytes_ > most_rejection_bytes)
+            on_not_run();
         return;
     case answer_use::hold:
-        held_.body.append(piece);
+        hold(piece);
         return;
     case answer_use::pass:
-        note_first_answer();
-        pass_on(route_->rule == state::run_rule::stream ? relay_.feed(piece) : std::string(piece));
+        if (route_->rule == state::run_rule::stream) {
+            pass_events(piece);
+        } else {
+            note_first_answer();
+            pass_on(piece);
+        }
+        return;
+    }
+}
+
+void forward_session::pass_events(std::string_view piece) {
+    auto events = relay_.feed(piece);
+    if (relay_.overflowing()) {
+        on_failure({transport::errc::connection_lost, "an event without end", true});
+        return;
+    }
+    if (events.empty())
+        return;
+    note_first_answer();
+    last_event_at_ = services_.loop.now();
+    pass_on(events);
+}
+
+void forward_session::hold(std::string_view piece) {
+    held_.body.append(piece);
+    if (held_.body.size() <= most_held_bytes)
+        return;
+    if (unproven_refusal()) {
+        may_have_run_ = true;
+        settle(call_end::broken);
+        refuse(502, "the server's answer " + std::to_string(held_.status) + " has no end");
         return;
     }
+    stop_holding();
+}
+
+void forward_session::stop_holding() {
+    use_ = answer_use::pass;
+    exchange_->start(held_.status, held_.fields, std::nullopt);
+    note_first_answer();
+    pass_on(std::exchange(held_.body, {}));
+}
+
+// Passed on, it would promise that the request did not run, which the server has not said.
+bool forward_session::unproven_refusal() const {
+    auto status = held_.status;
+    bool promise = status == 503 || status == 429 || status == 408 || status == 421;
+    return promise && route_->rule != state::run_rule::repeatable;
 }
 
 void forward_session::pass_on(std::string_view bytes) {
@@ -142,8 +191,6 @@
 void forward_session::reply_held() {
     auto status = held_.status;
     settle(answer_failed_ ? call_end::error : call_end::answered);
-    // These would say that the request did not run, which the server has not said.
-    bool unproven = status == 503 || status == 429 || status == 408 || status == 421;
     bool repeat = answer_failed_ && route_->rule == state::run_rule::repeatable;
     if (repeat && may_send_again()) {
         may_have_run_ = true;
@@ -151,7 +198,7 @@
         dispatch();
         return;
     }
-    if (unproven && route_->rule != state::run_rule::repeatable) {
+    if (unproven_refusal()) {
         may_have_run_ = true;
         refuse(502, "the server answered " + std::to_string(status) + " and may have run it");
         return;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -48,10 +48,12 @@
           loop, settings_, world_.records, log_, [this] { return report(); },
           [this](const auto& it) { on_peer_report(it); }),
       weights_(loop, settings_, incarnation_, state_, world_.records, world_.orders, peers_, log_),
-      callers_(loop, {},
-               [this](const auto& exchange) {
-                   std::make_shared<forward_session>(services_, exchange)->start();
-               }),
+      callers_(
+          loop, {},
+          [this](const auto& exchange) {
+              std::make_shared<forward_session>(services_, exchange)->start();
+          },
+          [this](transport::front_refusal why) { return refuse_unread(why); }),
       readiness_(
           loop, {},
           [this](const auto& exchange) {
@@ -66,6 +68,17 @@
 
 forward_instance::~forward_instance() = default;
 
+transport::http_response forward_instance::refuse_unread(transport::front_refusal why) {
+    auto status = transport::status_of(why);
+    std::string reason = transport::reason_of(why);
+    metrics_.count("azureyoke_refusals_total", "status", std::to_string(status));
+    std::int64_t left_out = 0;
+    if (lines_.take(event_id::request_refused, loop_.now(), left_out))
+        log_.write(event_id::request_refused, {{"detail", std::to_string(status) + ": " + reason},
+                                               {"left_out", std::to_string(left_out)}});
+    return {status, {}, reason + "\n"};
+}
+
 transport::result<void> forward_instance::start() {
     for (auto [server, at] :
          {std::pair(&callers_, settings_.callers), std::pair(&readiness_, settings_.readiness),
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -53,6 +53,8 @@
     void on_peer_report(const peer_report& report);
     void fetch_policy();
     void housekeeping();
+    /// Answers a request that could not be read.
+    transport::http_response refuse_unread(transport::front_refusal why);
     bool ready() const;
     void check_drained();
 
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -29,16 +29,27 @@
 constexpr coordination::duration new_weights_grace = std::chrono::milliseconds(1200);
 /// Percent of the time limit for new weights after which servers with older ones are not used.
 constexpr std::int64_t old_weights_percent = 65;
-/// Callers give a stream up that begins later than this many times its target, or two seconds.
+/// Callers give a stream up after a gap of this many times its target, or of its longest pause, or
+/// after two seconds, whichever is longest.
 constexpr double abandoned_targets = 4;
+constexpr double abandoned_pauses = 8;
 constexpr double least_patience_ms = 2000;
+/// What a server says beside `not run` is read for this long and up to this size, so that the
+/// connection can be kept; the request does not wait for more.
+constexpr coordination::duration rejection_wait = std::chrono::milliseconds(100);
+constexpr std::size_t most_rejection_bytes = 16 * 1024;
+
+/// \brief Milliseconds without an event after which callers give a stream up.
+inline double longest_gap_ms(const state::forward_route& route) {
+    return std::max({least_patience_ms, abandoned_targets * static_cast<double>(route.target_ms),
+                     abandoned_pauses * static_cast<double>(route.gap_ms)});
+}
 
 /// \brief Milliseconds for which the caller waits for the start of its answer.
 inline double patience_ms(const state::forward_route& route, double left_ms) {
     if (route.rule != state::run_rule::stream)
         return left_ms;
-    double patience = abandoned_targets * static_cast<double>(route.target_ms);
-    return std::min(left_ms, std::max(least_patience_ms, patience));
+    return std::min(left_ms, longest_gap_ms(route));
 }
 
 /// \brief The pool that the route gives this request, by the weights of its targets. The same
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -218,9 +218,28 @@
          std::to_string(std::lround(last_estimate_ms_)) + " ms");
     services_.state.router.on_sent(question_, *choice_, sent_at_);
     call_ = services_.backends.send(*to, request, true, shared_from_this());
+    last_event_at_ = sent_at_;
+    if (route_->rule == state::run_rule::stream)
+        watch_events();
+}
+
+void forward_session::watch_events() {
+    auto keep = shared_from_this();
+    auto limit = coordination::from_seconds(longest_gap_ms(*route_) / 1000);
+    auto quiet = services_.loop.now() - last_event_at_;
+    bool caller_reads = exchange_->unwritten() == 0; // else reading may have stopped for it
+    if (quiet >= limit && caller_reads) {
+        on_failure({transport::errc::timed_out,
+                    "no event for " + std::to_string(quiet / std::chrono::milliseconds(1)) + " ms",
+                    true});
+        return;
+    }
+    answer_timer_ =
+        services_.loop.after(quiet < limit ? limit - quiet : limit, [this] { watch_events(); });
 }
 
 void forward_session::on_not_run() {
+    auto keep = shared_from_this();
     settle(call_end::shed);
     --runs_;
     question_.excluded.push_back(last_server_);
@@ -287,6 +306,7 @@
 void forward_session::settle(call_end how) {
     services_.state.router.on_end(*choice_, how, services_.loop.now());
     choice_.reset();
+    answer_timer_.reset();
     call_.reset();
 }
 
@@ -325,6 +345,7 @@
     services_.history.add({intent_.request_id, workspace_ == nullptr ? "" : workspace_->name,
                            route_ == nullptr ? "" : route_->name, std::move(steps_)});
     time_over_.reset();
+    answer_timer_.reset();
     call_.reset();
     auto* limit = workspace_ == nullptr ? nullptr : services_.state.limit(workspace_->name);
     if (limit != nullptr && cost_ > 0 && sends_ == 0)
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -54,10 +54,18 @@
     void start_answer(const transport::http_head& head);
     void note_first_answer();
     void pass_on(std::string_view bytes);
+    void pass_events(std::string_view piece);
+    void hold(std::string_view piece);
+    /// The held answer says what the server has not: that the request did not run.
+    bool unproven_refusal() const;
+    /// The answer is larger than what is held: it is passed on as it comes from now on.
+    void stop_holding();
     void reply_held();
     void on_not_run();
     void try_again(const std::string& why);
     bool may_send_again() const;
+    /// Waits for the next event of a stream; a server that sends none for long has failed.
+    void watch_events();
     void on_time_over();
     void on_caller_gone();
     void settle(coordination::call_end how);
@@ -81,6 +89,9 @@
     double cost_ = 0; ///< Taken from the workspace's limit.
     transport::instant deadline_;
     std::unique_ptr<transport::timer> time_over_;
+    std::unique_ptr<transport::timer> answer_timer_; ///< Of the answer under way.
+    transport::instant last_event_at_; ///< Of the stream under way, or when it was asked for.
+    std::size_t rejection_bytes_ = 0;
     coordination::placement_question question_;
     std::optional<coordination::fleet_choice> choice_; ///< Of the call under way.
     std::unique_ptr<transport::backend_call> call_;
--- a/azureyoke/src/coordination/event_relay.h
+++ b/azureyoke/src/coordination/event_relay.h
@@ -12,11 +12,17 @@
 /// server that resumes may repeat it. Pure. Not thread safe.
 class event_relay {
 public:
+    /// Events hold a few tokens each; bytes without a blank line are no event beyond this.
+    static constexpr std::size_t most_event_bytes = 256 * 1024;
+
     /// \returns the whole events that `bytes` complete, as received.
     std::string feed(std::string_view bytes);
     /// \brief The stream ended in order. \returns what was held back of an unfinished event.
     std::string finish();
 
+    /// \returns whether an event is so long that it can't be taken for one.
+    bool overflowing() const { return partial_.size() > most_event_bytes; }
+
     /// \brief Another server goes on: the unfinished event comes again.
     void restart() { partial_.clear(); }
 
--- a/azureyoke/src/state/traffic_policy.h
+++ b/azureyoke/src/state/traffic_policy.h
@@ -33,6 +33,7 @@
     run_rule rule = run_rule::once;
     std::int64_t timeout_ms = 0;
     std::int64_t target_ms = 0; ///< Within this an answer is on time.
+    std::int64_t gap_ms = 0;    ///< Longest pause between events of a stream that is on time.
     int most_attempts = 1;
     int priority = 0; ///< 0 is the most urgent.
     bool keyless = false;
--- a/azureyoke/src/transport/backend_fetch.cpp
+++ b/azureyoke/src/transport/backend_fetch.cpp
@@ -24,9 +24,17 @@
         return answer_verdict::take;
     }
 
-    void on_piece(std::string_view piece) override { answer_.body.append(piece); }
+    void on_piece(std::string_view piece) override {
+        answer_.body.append(piece);
+        if (answer_.body.size() > most_fetched_bytes)
+            finish(tl::unexpected(
+                error{errc::connection_lost, "the answer is larger than the limit", true}));
+    }
 
-    void on_end() override { finish(std::move(answer_)); }
+    void on_end() override {
+        if (done_ != nullptr)
+            finish(std::move(answer_));
+    }
 
     void on_failure(const error& ec) override { finish(tl::unexpected(ec)); }
 
--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -11,6 +11,10 @@
 constexpr duration sweep_period = std::chrono::seconds(1);
 /// Stale answers that one call may drop before its connection is given up.
 constexpr int most_skipped = 2;
+/// Bytes of stale answers that one call may drop.
+constexpr std::size_t most_skipped_bytes = 256 * 1024;
+/// Interim answers (1xx) before the one to a request; servers send one or two.
+constexpr int most_interim = 8;
 /// A server that says when it closes idle connections is believed with this much to spare.
 constexpr duration keep_alive_margin = std::chrono::milliseconds(500);
 
@@ -59,6 +63,8 @@
               duration connect_timeout) {
         sink_ = std::move(sink);
         skipped_ = 0;
+        skipped_bytes_ = 0;
+        interim_ = 0;
         verdict_.reset();
         if (request.method == "HEAD")
             reader_.expect_no_body();
@@ -153,7 +159,9 @@
         if (sink_ == nullptr || closed_)
             return;
         if (head.status < 200) {
-            verdict_ = answer_verdict::skip; // interim
+            verdict_ = answer_verdict::skip;
+            if (++interim_ > internal::most_interim)
+                fail(errc::connection_lost, "interim answers without end");
             return;
         }
         keeps_ = head.keep_alive && head.framing != http_framing::until_close;
@@ -168,7 +176,15 @@
     }
 
     void on_body(std::string_view piece) override {
-        if (sink_ == nullptr || closed_ || verdict_ != answer_verdict::take)
+        if (sink_ == nullptr || closed_)
+            return;
+        if (verdict_ == answer_verdict::skip) {
+            skipped_bytes_ += piece.size();
+            if (skipped_bytes_ > internal::most_skipped_bytes)
+                fail(errc::connection_lost, "an answer to another request without end");
+            return;
+        }
+        if (verdict_ != answer_verdict::take)
             return;
         auto sink = sink_;
         sink->on_piece(piece);
@@ -215,7 +231,9 @@
     std::optional<answer_verdict> verdict_;
     std::unique_ptr<timer> connect_timer_;
     instant idle_since_;
-    int skipped_ = 0;
+    int skipped_ = 0; ///< Stale answers dropped by the call under way.
+    std::size_t skipped_bytes_ = 0;
+    int interim_ = 0;
     int calls_ = 0;
     bool keeps_ = false;
     bool ended_ = false;
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -152,6 +152,22 @@
     return 400;
 }
 
+const char* reason_of(front_refusal why) {
+    switch (why) {
+    case front_refusal::malformed:
+        return "the request is not HTTP/1.1";
+    case front_refusal::ambiguous_length:
+        return "the request states its length more than once";
+    case front_refusal::head_too_large:
+        return "the head, a chunk's extension or the trailer is larger than the limit";
+    case front_refusal::body_too_large:
+        return "the body is larger than the limit";
+    case front_refusal::too_slow:
+        return "the request did not come whole in time";
+    }
+    return "the request could not be read";
+}
+
 front_server::front_server(event_loop& loop, const front_limits& limits, handler on_request,
                            refusal_renderer render)
     : loop_(loop), limits_(limits), on_request_(std::move(on_request)), render_(std::move(render)),
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -27,6 +27,8 @@
 
 /// \brief The status of a refusal.
 int status_of(front_refusal why);
+/// \brief The rule that was broken, in words.
+const char* reason_of(front_refusal why);
 
 class front_server;
 class front_connection;
