A stopping instance answers who has connected; a cut answer is no whole one for old callers

Causes, by reading and by test: the process ended 50 ms after the last look, while its listener still took connections, so that a request read in between was cut; an answer to an HTTP/1.0 caller, which ends with its connection, was closed in order where the server had broken it off. Change: a drain stops listening (what is in the backlog is taken) before its last looks and ends after a whole period without a busy caller; such an answer is reset. Tests, both failed first: front_server/connections_made_before_listening_stops..., front_server/answer_that_breaks_off_is_seen_as_cut...; new beside them forward_session/second_copy_that_comes_on_a_reused_connection...

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -286,10 +286,14 @@
     auto busy = callers_.busy_connections();
     if (waited < internal::drain_grace)
         return;
-    // From now on callers have other instances; what comes later might not end in time.
+    // From now on callers have other instances; what comes later might not end in time. Who has
+    // connected already is still answered, and the process ends only after a period without any.
     services_.refuse_all = true;
+    callers_.stop_listening();
     callers_.close_idle();
-    if (busy > 0 && waited < limit)
+    bool quiet = busy == 0 && was_quiet_;
+    was_quiet_ = busy == 0;
+    if (!quiet && waited < limit)
         return;
     auto keep = std::move(drain_timer_);
     peers_.leave();
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -82,6 +82,7 @@
     transport::instant registry_lost_;
     transport::instant peer_reached_at_;
     bool draining_ = false;
+    bool was_quiet_ = false; ///< No caller was busy at the last look of the drain.
     transport::instant drain_began_;
 };
 
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -25,6 +25,8 @@
 
     bool closes_after_answer() const;
 
+    void reset_at_end() { stream_.reset_at_end(); }
+
     void close_after_answer() { keep_alive_ = false; }
 
     /// \brief The answer has been handed over; the next request may be read.
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -103,6 +103,7 @@
         out += "Transfer-Encoding: chunked\r\n";
     else if (length)
         out += "Content-Length: " + std::to_string(*length) + "\r\n";
+    ends_by_close_ = !chunked_ && !length;
     out += "\r\n";
     connection_->write(out);
 }
@@ -129,8 +130,11 @@
 }
 
 void front_exchange::abort() {
-    if (!over())
-        release()->close();
+    if (over())
+        return;
+    if (ends_by_close_)
+        connection_->reset_at_end();
+    release()->close();
 }
 
 std::size_t front_exchange::unwritten() const {
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -86,6 +86,7 @@
     std::function<void()> on_drained_;
     bool started_ = false;
     bool chunked_ = false;
+    bool ends_by_close_ = false; ///< Only the connection's end says that the answer is whole.
 };
 
 /// \brief HTTP/1.1 server that hands over whole requests and sends answers in pieces.
@@ -111,6 +112,9 @@
 
     void set_limits(const front_limits& limits) { limits_ = limits; }
 
+    /// \brief Takes the connections that were made already, and no later ones.
+    void stop_listening() { listener_.stop(); }
+
     /// \brief From now on each answer announces that its connection closes.
     void close_after_answers() { closing_ = true; }
 
--- a/azureyoke/src/transport/tcp_stream.cpp
+++ b/azureyoke/src/transport/tcp_stream.cpp
@@ -132,6 +132,11 @@
         (void)shutdown(fd_, SHUT_WR);
 }
 
+void tcp_stream::reset_at_end() {
+    linger at_once{1, 0};
+    (void)setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void tcp_stream::flush() {
     while (unwritten() > 0) {
         bytes_left_ = true;
@@ -210,6 +215,14 @@
         close(fd_);
 }
 
+void tcp_listener::stop() {
+    if (event_ == nullptr)
+        return;
+    acceptable(fd_, 0, this);
+    event_free(std::exchange(event_, nullptr));
+    close(std::exchange(fd_, -1));
+}
+
 result<address> tcp_listener::listen(const address& at) {
     auto bind_to = to_socket_address(at);
     fd_ = socket(bind_to.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/azureyoke/src/transport/tcp_stream.h
+++ b/azureyoke/src/transport/tcp_stream.h
@@ -49,6 +49,9 @@
     /// \brief No more is written: once the rest has left, the peer sees the end of file.
     void end_output();
 
+    /// \brief The stream's end is a reset, so that the peer can't take it for an end in order.
+    void reset_at_end();
+
     /// \brief Bytes that wait to be written.
     std::size_t unwritten() const { return out_.size() - out_at_; }
 
@@ -99,6 +102,9 @@
     /// \returns the address bound.
     result<address> listen(const address& at);
 
+    /// \brief Accepts what has connected already, and nothing later.
+    void stop();
+
 private:
     static void acceptable(int fd, short what, void* self);
 
--- a/test/forward_session_test.cpp
+++ b/test/forward_session_test.cpp
@@ -128,6 +128,18 @@
     cr_assert_eq(got.body, "body");
 }
 
+Test(forward_session, second_copy_that_comes_on_a_reused_connection_does_not_meet_its_caller) {
+    forward_fixture it(forward_fixture::route(run_rule::once, 1));
+    it.state->directory.remove("b", it.loop.now());
+    it.first.script = {
+        {good}, {"HTTP/1.1 200 OK\r\nid: q1\r\nstamp: s\r\nContent-Length: 5\r\n\r\nwrong" + good}};
+    cr_assert_eq(it.ask({{"id", "q1"}}).status, 200);
+    auto got = it.ask({{"id", "q2"}});
+    cr_assert_eq(it.first.connections(), 1U, "the connection was reused");
+    cr_assert_eq(got.body, "body");
+    cr_assert_eq(*transport::find_field(got.fields, "id"), "q2");
+}
+
 Test(forward_session, bytes_that_are_no_answer_are_not_passed_on) {
     forward_fixture it(forward_fixture::route(run_rule::once, 1));
     it.script({"garbage garbage\r\n\r\n"});
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -1,6 +1,8 @@
 #include "azureyoke/src/transport/front_server.h"
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -36,13 +38,17 @@
 
     void on_bytes(std::string_view bytes) override { answer += bytes; }
 
-    void on_end(bool /*reset*/) override { ended = true; }
+    void on_end(bool by_reset) override {
+        ended = true;
+        reset = by_reset;
+    }
 
     void on_drained() override { sent = true; }
 
     std::string answer;
     bool sent = false;
     bool ended = false;
+    bool reset = false;
     transport::tcp_stream stream;
 };
 
@@ -125,3 +131,58 @@
     cr_assert(client.answer.starts_with("HTTP/1.1 400 "), "%s", client.answer.c_str());
     cr_assert(client.answer.ends_with("own words"));
 }
+
+Test(front_server, answer_that_breaks_off_is_seen_as_cut_by_a_caller_of_an_older_http) {
+    transport::event_loop loop;
+    transport::front_server server{loop, {}, [](const auto& exchange) {
+                                       exchange->start(200, {});
+                                       exchange->write("half");
+                                       exchange->abort();
+                                   }};
+    auto at = *server.listen({"127.0.0.1", 0});
+    plain_client client(loop, at, "GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    while (!client.ended)
+        loop.turn(true);
+    cr_assert(client.reset, "an end in order would make the half a whole: %s",
+              client.answer.c_str());
+}
+
+namespace {
+
+/// Connects, and sends its request only when told.
+struct late_client : transport::tcp_stream_sink {
+    late_client(transport::event_loop& loop, const transport::address& at)
+        : stream(loop, at, *this) {}
+
+    void on_connected() override { connected = true; }
+
+    void on_bytes(std::string_view bytes) override { answer += bytes; }
+
+    void on_end(bool /*reset*/) override { ended = true; }
+
+    std::string answer;
+    bool connected = false;
+    bool ended = false;
+    transport::tcp_stream stream;
+};
+
+} // namespace
+
+Test(front_server, connections_made_before_listening_stops_are_answered_and_later_ones_refused) {
+    server_fixture it;
+    std::vector<std::unique_ptr<late_client>> early;
+    for (int i = 0; i < 20; ++i)
+        early.push_back(std::make_unique<late_client>(it.loop, it.at));
+    it.server.stop_listening(); // none of them has been accepted yet
+    for (auto& client : early)
+        client->stream.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    for (auto& client : early) {
+        while (!client->ended && client->answer.empty())
+            it.loop.turn(true);
+        cr_assert(client->answer.starts_with("HTTP/1.1 200 "), "%s", client->answer.c_str());
+    }
+    late_client late(it.loop, it.at);
+    while (!late.ended)
+        it.loop.turn(true);
+    cr_assert_not(late.connected);
+}
