--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -109,26 +109,36 @@
         send_now();
 }
 
-void peer_board::send_now() {
+bool peer_board::is_near(const peer& it) const {
+    return it.last.data_centre == settings_.data_centre;
+}
+
+void peer_board::send_now(reach to) {
     auto now = loop_.now();
-    next_send_ = now + internal::report_period;
-    auto report = source_();
+    auto report = source_(to);
     report.leaving = leaving_;
-    auto bytes = to_bytes(report);
-    if (bytes.size() > transport::most_datagram_bytes) {
+    auto near = to_messages(report, transport::most_datagram_bytes);
+    if (near.empty())
         log_.warn(event_id::peer_message_refused, {{"why", "a report is larger than a datagram"}});
-        return;
+    std::vector<std::string> far;
+    if (to == reach::fleet) {
+        next_send_ = now + internal::report_period;
+        far = to_messages(brief_form(std::move(report)), transport::most_datagram_bytes);
     }
     std::set<transport::address> sent;
+    auto send = [&](const transport::address& at, const std::vector<std::string>& messages) {
+        if (messages.empty() || !sent.insert(at).second)
+            return;
+        for (const auto& bytes : messages)
+            socket_.send(at, bytes);
+    };
     for (const auto& [name, it] : peers_) {
         auto known = std::max(it.heard, it.listed);
-        if (now - known < internal::gone_after && sent.insert(it.at).second)
-            socket_.send(it.at, bytes);
-    }
-    for (const auto& it : seeds_) {
-        if (sent.insert(it).second)
-            socket_.send(it, bytes);
+        if (now - known < internal::gone_after)
+            send(it.at, is_near(it) ? near : far);
     }
+    for (const auto& it : seeds_)
+        send(it, far);
 }
 
 void peer_board::on_datagram(std::string_view bytes) {
@@ -194,6 +204,11 @@
     return names;
 }
 
+std::ptrdiff_t peer_board::place(transport::instant now) const {
+    auto names = able(now);
+    return std::find(names.begin(), names.end(), settings_.instance) - names.begin();
+}
+
 std::optional<std::string> peer_board::lease_holder(transport::instant now) const {
     for (const auto& [name, it] : peers_) {
         if (it.last.holds_lease && now - it.heard <= internal::silence)
--- a/azureyoke/src/app/peer_board.h
+++ b/azureyoke/src/app/peer_board.h
@@ -18,9 +18,14 @@
 ///
 /// Instances find each other by records in the store, by seeds, and by hearing each other. A lost
 /// report is made good by the next one. Not thread safe.
+///
+/// What changes with every request goes to the own data centre only, as often as there is news;
+/// the others get a brief report twice a second, and at once what limits and policies depend on.
 class peer_board {
 public:
-    using report_source = std::function<peer_report()>;
+    enum class reach { data_centre, fleet };
+
+    using report_source = std::function<peer_report(reach)>;
     using report_handler = std::function<void(const peer_report&)>;
 
     struct members {
@@ -36,8 +41,8 @@
     transport::result<transport::address> start();
     /// \brief Operator addresses of instances that may not have been heard yet.
     void add_seeds(const std::vector<transport::address>& seeds);
-    /// \brief Sends a report to all peers now.
-    void send_now();
+    /// \brief Sends a report now.
+    void send_now(reach to = reach::fleet);
     /// \brief Takes this instance off the list; peers stop counting it.
     void leave();
 
@@ -46,6 +51,8 @@
     std::vector<std::string> live(transport::instant now) const;
     /// \brief Those of `live` that reach the registry; this instance always counts.
     std::vector<std::string> able(transport::instant now) const;
+    /// \brief This instance's place among those of `able`, from 0.
+    std::ptrdiff_t place(transport::instant now) const;
     /// \brief The instance that lately said that it gives the orders.
     std::optional<std::string> lease_holder(transport::instant now) const;
     /// \brief Operator addresses from which a newer policy than `version` can be read.
@@ -65,6 +72,7 @@
     void read_records();
     void write_record();
     void tick();
+    bool is_near(const peer& it) const;
 
     transport::event_loop& loop_;
     const forward_settings& settings_;
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -1,5 +1,7 @@
 #include "azureyoke/src/app/peer_report.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace azureyoke::app {
@@ -17,9 +19,12 @@
         for (const auto& it : list)
             ages.push_back({it.version, it.age_ms});
     }
-    auto work = json::object();
-    for (const auto& [server, it] : report.work)
-        work[server] = {it.in_flight, it.unread_tokens};
+    json work; // null: not told
+    if (report.work) {
+        work = json::object();
+        for (const auto& [server, it] : *report.work)
+            work[server] = {it.in_flight, it.unread_tokens};
+    }
     auto placed = json::array();
     for (const auto& it : report.placed)
         placed.push_back({it.server, it.links});
@@ -39,17 +44,55 @@
                  report.reaches_registry,
                  work,
                  placed,
-                 departures};
+                 departures,
+                 report.data_centre};
     std::string bytes;
     json::to_cbor(body, bytes);
     return bytes;
 }
 
+peer_report brief_form(peer_report report) {
+    report.work.reset();
+    report.placed.clear();
+    return report;
+}
+
+std::vector<std::string> to_messages(peer_report report, std::size_t most) {
+    auto whole = to_bytes(report);
+    if (whole.size() <= most)
+        return {std::move(whole)};
+    auto placed = std::exchange(report.placed, {});
+    auto first = to_bytes(report);
+    if (first.size() > most)
+        return {};
+    std::vector<std::string> list = {std::move(first)};
+    report.work.reset();
+    report.spent.clear();
+    report.named_weights.clear();
+    report.notices.clear();
+    report.departures.clear();
+    auto base = to_bytes(report).size();
+    std::size_t size = base;
+    for (auto& it : placed) {
+        // Text and numbers with their marks: CBOR takes at most 9 bytes for a number or a length.
+        auto more = it.server.size() + 9 * (it.links.size() + 3);
+        if (size + more > most && !report.placed.empty()) {
+            list.push_back(to_bytes(report));
+            report.placed.clear();
+            size = base;
+        }
+        report.placed.push_back(std::move(it));
+        size += more;
+    }
+    list.push_back(to_bytes(report));
+    return list;
+}
+
 std::optional<peer_report> parse_peer_report(std::string_view bytes) {
     try {
         // Sizes that can't be are thrown even where faults are not.
         auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-        if (!body.is_array() || body.size() != 14)
+        if (!body.is_array() || body.size() != 15)
             return std::nullopt;
         peer_report made;
         made.instance = body[0].get<std::string>();
@@ -69,13 +112,17 @@
             made.notices.push_back({it.at(0).get<std::string>(), it.at(1).get<std::string>(),
                                     it.at(2).get<std::int64_t>(), it.at(3).get<bool>()});
         made.reaches_registry = body[10].get<bool>();
-        for (const auto& [server, it] : body[11].items())
-            made.work[server] = {it.at(0).get<int>(), it.at(1).get<std::int64_t>()};
+        if (!body[11].is_null()) {
+            auto& work = made.work.emplace();
+            for (const auto& [server, it] : body[11].items())
+                work[server] = {it.at(0).get<int>(), it.at(1).get<std::int64_t>()};
+        }
         for (const auto& it : body[12])
             made.placed.push_back(
                 {it.at(0).get<std::string>(), it.at(1).get<std::vector<std::uint64_t>>()});
         for (const auto& it : body[13])
             made.departures.push_back({it.at(0).get<std::string>(), it.at(1).get<std::int64_t>()});
+        made.data_centre = body[14].get<std::string>();
         return made;
     } catch (const json::exception&) {
         return std::nullopt; // no report, or a field of another type: the sender is none of ours
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -25,6 +25,7 @@
 /// \brief What one instance tells the others, in one datagram.
 struct peer_report {
     std::string instance;
+    std::string data_centre;
     std::uint64_t incarnation = 0;
     std::string peers;     ///< Address for these reports.
     std::string operators; ///< Address from which the policy can be read.
@@ -36,13 +37,22 @@
     /// By model, oldest first: those whose time limit has not passed and the newest due ones.
     std::map<std::string, std::vector<coordination::weights_age>> named_weights;
     std::vector<weights_notice> notices;
-    std::map<std::string, coordination::server_work> work; ///< Of the sender, by server.
-    std::vector<coordination::placed_prompt> placed;       ///< Since its last report.
-    std::vector<coordination::departure> departures;       ///< Servers that told the sender of it.
+    /// Of the sender, by server; nothing when this message does not tell of it.
+    std::optional<std::map<std::string, coordination::server_work>> work;
+    std::vector<coordination::placed_prompt> placed; ///< Since its last report.
+    std::vector<coordination::departure> departures; ///< Servers that told the sender of it.
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
 
+/// \brief The report as instances of other data centres get it: without what helps only to choose
+/// among servers, which changes with every request. Thread safe.
+peer_report brief_form(peer_report report);
+
+/// \brief The report in messages of at most `most` bytes each, of which any may be lost.
+/// \returns nothing when what is not a list of prompts does not fit. Thread safe.
+std::vector<std::string> to_messages(peer_report report, std::size_t most);
+
 /// \brief CBOR. Thread safe.
 std::string to_bytes(const peer_report& report);
 /// \returns nothing when the bytes are no report.
--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -60,12 +60,7 @@
         return true;
     if (peers_.lease_holder(now))
         return false;
-    return now - work_since_ >= internal::turn * place(now);
-}
-
-std::ptrdiff_t weights_service::place(transport::instant now) const {
-    auto able = peers_.able(now);
-    return std::find(able.begin(), able.end(), settings_.instance) - able.begin();
+    return now - work_since_ >= internal::turn * peers_.place(now);
 }
 
 void weights_service::tick() {
@@ -80,7 +75,7 @@
         work_since_ = now;
     lease_.want(work && my_turn(now));
     auto watch = work ? coordination::lease_watch::closely : coordination::lease_watch::loosely;
-    bool follows = !stopping_ && place(now) < internal::watchers;
+    bool follows = !stopping_ && peers_.place(now) < internal::watchers;
     lease_.watch(follows ? watch : coordination::lease_watch::none);
     for (const auto& it : lease_.tick(transport::boot_now()))
         run(it);
--- a/azureyoke/src/app/weights_service.h
+++ b/azureyoke/src/app/weights_service.h
@@ -37,8 +37,6 @@
     void tick();
     std::vector<coordination::rollout_server> servers() const;
     bool my_turn(transport::instant now);
-    /// This instance's place in the order in which instances try to take the lease.
-    std::ptrdiff_t place(transport::instant now) const;
     void run(const coordination::lease_action& action);
     void order(const coordination::weights_action& action);
     void look(const coordination::weights_action& action);
--- a/azureyoke/src/coordination/fleet_limit.cpp
+++ b/azureyoke/src/coordination/fleet_limit.cpp
@@ -91,7 +91,8 @@
 }
 
 bool fleet_limit::report_due() const {
-    return spent_ - reported_ > burst_ * settings_.report_share;
+    auto share = std::min(settings_.report_share, settings_.untold_share / members_);
+    return spent_ - reported_ > burst_ * share;
 }
 
 } // namespace azureyoke::coordination
--- a/azureyoke/src/coordination/fleet_limit.h
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -15,6 +15,8 @@
     /// may be cut off: its part of the rate waits for its next report.
     duration doubt = std::chrono::milliseconds(300);
     double report_share = 0.04; ///< Of a burst: spending that peers are told of at once.
+    /// Of a burst: what all members together may spend before they tell each other at once.
+    double untold_share = 0.16;
     /// Over which a limit is judged: rate x window + burst may be spent in any. 0: a limit is a
     /// bucket of one burst that fills at the rate.
     duration window{};
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -25,7 +25,7 @@
 
     bool closes_after_answer() const;
 
-    void reset_at_end() { stream_.reset_at_end(); }
+    void reset_at_end() const { stream_.reset_at_end(); }
 
     void close_after_answer() { keep_alive_ = false; }
 
--- a/azureyoke/src/transport/tcp_stream.cpp
+++ b/azureyoke/src/transport/tcp_stream.cpp
@@ -132,7 +132,7 @@
         (void)shutdown(fd_, SHUT_WR);
 }
 
-void tcp_stream::reset_at_end() {
+void tcp_stream::reset_at_end() const {
     linger at_once{1, 0};
     (void)setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
 }
--- a/azureyoke/src/transport/tcp_stream.h
+++ b/azureyoke/src/transport/tcp_stream.h
@@ -50,7 +50,7 @@
     void end_output();
 
     /// \brief The stream's end is a reset, so that the peer can't take it for an end in order.
-    void reset_at_end();
+    void reset_at_end() const;
 
     /// \brief Bytes that wait to be written.
     std::size_t unwritten() const { return out_.size() - out_at_; }
--- a/test/fleet_limit_test.cpp
+++ b/test/fleet_limit_test.cpp
@@ -192,3 +192,81 @@
         cr_assert_geq(spent, (rate * 8 + burst) * 0.98);
     }
 }
+
+namespace {
+
+/// One workspace that wants more than its rate, spread over many instances, which report twice a
+/// second and, within 100 ms, when their limit asks for it.
+class hot_workspace_world {
+public:
+    hot_workspace_world(int instances, double wanted) : wanted_(wanted) {
+        coordination::fleet_limit_settings settings;
+        settings.window = window;
+        for (int i = 0; i < instances; ++i)
+            limits_.emplace_back(settings, rate, burst, start);
+        for (auto& it : limits_)
+            it.set_members(instances, 0, start);
+    }
+
+    static constexpr duration window = std::chrono::seconds(8);
+
+    /// \returns the most that was spent in any span of `window`.
+    double run(duration length) {
+        constexpr duration step = std::chrono::milliseconds(20);
+        constexpr int steps_a_look = 5;
+        constexpr int steps_a_report = 25;
+        constexpr double cost = 30; // a long prompt
+        std::deque<instant> spent;
+        std::size_t most = 0;
+        double due = 0;
+        int n = 0;
+        for (auto now = start; now < start + length; now += step, ++n) {
+            // Quiet at first, so that the bucket is full when the crowd comes.
+            double asked = now < start + 10 * second ? 0.3 : wanted_;
+            for (due += asked * rate * 0.02; due >= cost; due -= cost) {
+                if (limits_[random_() % limits_.size()].take(cost, now))
+                    spent.push_back(now);
+            }
+            while (!spent.empty() && now - spent.front() > window)
+                spent.pop_front();
+            most = std::max(most, spent.size());
+            if (n % steps_a_look == 0)
+                report(now, n % steps_a_report == 0);
+        }
+        return static_cast<double>(most) * cost;
+    }
+
+private:
+    void report(instant now, bool all) {
+        for (std::size_t from = 0; from < limits_.size(); ++from) {
+            if (!all && !limits_[from].report_due())
+                continue;
+            limits_[from].on_reported();
+            for (std::size_t to = 0; to < limits_.size(); ++to) {
+                if (to != from)
+                    limits_[to].on_peer_spent(std::to_string(from), 1, limits_[from].spent(), now);
+            }
+        }
+    }
+
+    double wanted_;
+    std::vector<fleet_limit> limits_;
+    std::mt19937 random_{1};
+};
+
+} // namespace
+
+Test(fleet_limit, hot_workspace_of_a_large_fleet_keeps_to_its_limit_and_gets_most_of_it) {
+    constexpr double overage = 1.1;
+    constexpr double slack = 0.2 * rate;
+    double owed = rate * coordination::to_seconds(hot_workspace_world::window) + burst;
+    for (int instances : {8, 64, 195}) {
+        for (double wanted : {1.5, 4.2, 7.5}) {
+            double most = hot_workspace_world(instances, wanted).run(40 * second);
+            cr_assert_leq(most, owed * overage + slack, "%d instances, %.1f times the rate: %.0f",
+                          instances, wanted, most);
+            cr_assert_geq(most, owed * 0.8, "%d instances, %.1f times the rate: %.0f", instances,
+                          wanted, most);
+        }
+    }
+}
