A report with work at too many servers still tells the rest

Found while reading the change: work at 117 servers does not fit one datagram, and the whole report was dropped, so that the instance fell silent to its own data centre. Work is left out then. Test: peer_report/work_at_too_many_servers_does_not_silence_its_instance.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -18,8 +18,8 @@
                        services_.loop.now());
     if (note.weights && !question_.model.empty())
         router.on_weights(choice_->server, question_.model, *note.weights);
-    if (!note.wrong_server)
-        learn_from(note); // of another server, or of one that took other weights meanwhile
+    if (!note.wrong_server) // it says nothing of the server that was asked
+        learn_from(note);
     if (note.not_run || note.wrong_server) {
         use_ = answer_use::reject;
         rejection_bytes_ = 0;
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -63,9 +63,15 @@
         return {std::move(whole)};
     auto placed = std::exchange(report.placed, {});
     auto first = to_bytes(report);
+    if (first.size() > most) {
+        report.work.reset(); // peers can do without it, but not without the rest
+        first = to_bytes(report);
+    }
     if (first.size() > most)
         return {};
     std::vector<std::string> list = {std::move(first)};
+    if (placed.empty())
+        return list;
     report.work.reset();
     report.spent.clear();
     report.named_weights.clear();
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -50,7 +50,8 @@
 peer_report brief_form(peer_report report);
 
 /// \brief The report in messages of at most `most` bytes each, of which any may be lost.
-/// \returns nothing when what is not a list of prompts does not fit. Thread safe.
+/// Work at servers is left out when it would keep the rest from fitting.
+/// \returns nothing when the rest does not fit either. Thread safe.
 std::vector<std::string> to_messages(peer_report report, std::size_t most);
 
 /// \brief CBOR. Thread safe.
--- a/test/peer_board_test.cpp
+++ b/test/peer_board_test.cpp
@@ -138,3 +138,15 @@
     cr_assert_eq(with_work, 1, "a message that does not tell of work takes none back");
     cr_assert(placed == report.placed);
 }
+
+Test(peer_report, work_at_too_many_servers_does_not_silence_its_instance) {
+    app::peer_report report;
+    report.instance = "i-1";
+    report.spent["w"] = 7;
+    auto& work = report.work.emplace();
+    for (int i = 0; i < 117; ++i)
+        work["i-7f3a91c" + std::to_string(i)] = {2, 9000};
+    auto messages = app::to_messages(report, transport::most_datagram_bytes);
+    cr_assert_eq(messages.size(), 1U);
+    cr_assert_eq(app::parse_peer_report(messages.front())->spent.at("w"), 7);
+}
