Requests wait at a server no longer than its weights allow; other data centres hear of work again

Besides, a third of the work at each server was all that an instance heard of there. Change: the wait before the first event is four times the target again (2.4 s); the longer patience holds for gaps only. Brief reports to other data centres carry the work at servers again, twice a second. To be measured.

--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -45,11 +45,15 @@
                      abandoned_pauses * static_cast<double>(route.gap_ms)});
 }
 
-/// \brief Milliseconds for which the caller waits for the start of its answer.
+/// \brief Milliseconds for which a request may wait at a server for the start of its answer.
+///
+/// Shorter than the caller's own patience: what waits longer at a server may begin there after its
+/// weights are too old, and holds up what comes behind it.
 inline double patience_ms(const state::forward_route& route, double left_ms) {
     if (route.rule != state::run_rule::stream)
         return left_ms;
-    return std::min(left_ms, longest_gap_ms(route));
+    double patience = abandoned_targets * static_cast<double>(route.target_ms);
+    return std::min(left_ms, std::max(least_patience_ms, patience));
 }
 
 /// \brief The pool that the route gives this request, by the weights of its targets. The same
--- a/azureyoke/src/app/peer_board.h
+++ b/azureyoke/src/app/peer_board.h
@@ -19,8 +19,8 @@
 /// Instances find each other by records in the store, by seeds, and by hearing each other. A lost
 /// report is made good by the next one. Not thread safe.
 ///
-/// What changes with every request goes to the own data centre only, as often as there is news;
-/// the others get a brief report twice a second, and at once what limits and policies depend on.
+/// What changes with every request goes to the own data centre as often as there is news; the
+/// others get a brief report twice a second, and at once what limits and policies depend on.
 class peer_board {
 public:
     enum class reach { data_centre, fleet };
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -52,7 +52,6 @@
 }
 
 peer_report brief_form(peer_report report) {
-    report.work.reset();
     report.placed.clear();
     return report;
 }
