All data centres hear where prompts were placed, twice a second

Each data centre knew only where its own instances had placed a prompt and settled on caches of its own. Change: prompts placed since the last report to the fleet go along with the next one, twice a second. To be measured.

--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -1,6 +1,7 @@
 #include "azureyoke/src/app/peer_board.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "azureyoke/src/coordination/member_silence.h"
 
@@ -120,10 +121,12 @@
     auto near = to_messages(report, transport::most_datagram_bytes);
     if (near.empty())
         log_.warn(event_id::peer_message_refused, {{"why", "a report is larger than a datagram"}});
+    untold_.insert(untold_.end(), report.placed.begin(), report.placed.end());
     std::vector<std::string> far;
     if (to == reach::fleet) {
         next_send_ = now + internal::report_period;
-        far = to_messages(brief_form(std::move(report)), transport::most_datagram_bytes);
+        report.placed = std::exchange(untold_, {});
+        far = to_messages(std::move(report), transport::most_datagram_bytes);
     }
     std::set<transport::address> sent;
     auto send = [&](const transport::address& at, const std::vector<std::string>& messages) {
--- a/azureyoke/src/app/peer_board.h
+++ b/azureyoke/src/app/peer_board.h
@@ -20,7 +20,7 @@
 /// report is made good by the next one. Not thread safe.
 ///
 /// What changes with every request goes to the own data centre as often as there is news; the
-/// others get a brief report twice a second, and at once what limits and policies depend on.
+/// others get all of it twice a second, and at once what limits and policies depend on.
 class peer_board {
 public:
     enum class reach { data_centre, fleet };
@@ -83,6 +83,8 @@
     transport::datagram_socket socket_;
     std::map<std::string, peer> peers_;
     std::set<transport::address> seeds_; ///< Peers not heard yet.
+    /// Prompts of which only the own data centre was told.
+    std::vector<coordination::placed_prompt> untold_;
     std::unique_ptr<transport::timer> tick_timer_;
     std::unique_ptr<transport::timer> retry_timer_;
     transport::instant started_;
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -51,11 +51,6 @@
     return bytes;
 }
 
-peer_report brief_form(peer_report report) {
-    report.placed.clear();
-    return report;
-}
-
 std::vector<std::string> to_messages(peer_report report, std::size_t most) {
     auto whole = to_bytes(report);
     if (whole.size() <= most)
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -45,10 +45,6 @@
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
 
-/// \brief The report as instances of other data centres get it: without the prompts that were
-/// placed, whose homes they compute alike. Thread safe.
-peer_report brief_form(peer_report report);
-
 /// \brief The report in messages of at most `most` bytes each, of which any may be lost.
 /// Work at servers is left out when it would keep the rest from fitting.
 /// \returns nothing when the rest does not fit either. Thread safe.
