The registry is asked as before: the gathering of changes is taken back

Reports by data centre are to be measured alone next. Change: table_feed, rows_client, registry and their test as before; registry_pace goes. Unit 326 of 326, route/* 1 of 1.

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -254,7 +254,6 @@
     auto members = peers_.count(now);
     if (members.all != state_.instances || members.silent != state_.silent_instances)
         state_.set_members(members.all, members.silent, now);
-    world_.registry.set_pace(coordination::pace_of(members.all, peers_.place(now)));
     bool heard_of = registry_reachable_ || now - peer_reached_at_ < internal::registry_patience;
     state_.policy_may_be_old = !heard_of && now - registry_lost_ >= internal::registry_patience;
     state_.router.expire_peers(now);
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -8,7 +8,6 @@
 #include <string_view>
 #include <vector>
 
-#include "azureyoke/src/coordination/registry_pace.h"
 #include "azureyoke/src/coordination/weights_rollout.h"
 #include "azureyoke/src/coordination/write_result.h"
 #include "azureyoke/src/state/fleet_server.h"
@@ -45,7 +44,6 @@
 public:
     virtual ~fleet_registry() = default;
     virtual void start(registry_listener& listener) = 0;
-    virtual void set_pace(const coordination::registry_pace& pace) = 0;
     /// \returns nothing, and the reason in `why`, when the text is no policy.
     virtual std::optional<policy_copy> read_policy(const std::string& text, std::string& why) = 0;
 };
