--- a/test/endless_bytes_test.cpp
+++ b/test/endless_bytes_test.cpp
@@ -285,17 +285,17 @@
     auto route = forward_fixture::route(run_rule::stream, 1);
     route.timeout_ms = 20'000;
     forward_fixture it(route);
+    std::vector<std::unique_ptr<transport::timer>> timers;
     transport::front_server slow(it.loop, {}, [&](const auto& exchange) {
         auto id = transport::find_field(exchange->request().fields, "id").value_or("");
         exchange->start(200, {{"id", id}, {"stamp", "s"}});
         for (int i = 1; i <= 4; ++i) {
             auto at = std::chrono::milliseconds(900) * i;
-            auto timer = std::make_shared<std::unique_ptr<transport::timer>>();
-            *timer = it.loop.after(at, [exchange, i, timer] {
+            timers.push_back(it.loop.after(at, [exchange, i] {
                 exchange->write(event_text(i));
                 if (i == 4)
                     exchange->end();
-            });
+            }));
         }
     });
     auto at = *slow.listen({"127.0.0.1", 0});
