--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -259,7 +259,6 @@
     state_.router.expire_peers(now);
     for (auto& [model, it] : state_.weights)
         it.trim(std::chrono::milliseconds(settings_.weights_limit_ms), now);
-    // An instance that hears late of work sends to a server that others have filled meanwhile.
     bool due = state_.router.news_for_peers();
     for (const auto& [name, it] : state_.limits)
         due = due || it.report_due();
--- a/test/peer_board_test.cpp
+++ b/test/peer_board_test.cpp
@@ -76,14 +76,14 @@
 
 Test(peer_report, busy_instance_tells_all_in_messages_that_fit) {
     app::peer_report report;
-    report.instance = "edge-colombo-1";
+    report.instance = "instance-num-1";
     for (int i = 0; i < 16; ++i)
-        report.spent["tenant" + std::to_string(i)] = 1e6 + i;
+        report.spent["workspace" + std::to_string(i)] = 1e6 + i;
     auto& work = report.work.emplace();
     for (int i = 0; i < 12; ++i)
-        work["i-7f3a91c" + std::to_string(i)] = {2, 9000};
+        work["server-01" + std::to_string(i)] = {2, 9000};
     for (int i = 0; i < 200; ++i)
-        report.placed.push_back({"i-7f3a91c2", {~0ULL - static_cast<std::uint64_t>(i), ~0ULL}});
+        report.placed.push_back({"server-012", {~0ULL - static_cast<std::uint64_t>(i), ~0ULL}});
     auto messages = app::to_messages(report, transport::most_datagram_bytes);
     cr_assert_gt(messages.size(), 1U);
     std::vector<coordination::placed_prompt> placed;
@@ -106,7 +106,7 @@
     report.spent["w"] = 7;
     auto& work = report.work.emplace();
     for (int i = 0; i < 117; ++i)
-        work["i-7f3a91c" + std::to_string(i)] = {2, 9000};
+        work["server-01" + std::to_string(i)] = {2, 9000};
     auto messages = app::to_messages(report, transport::most_datagram_bytes);
     cr_assert_eq(messages.size(), 1U);
     cr_assert_eq(app::parse_peer_report(messages.front())->spent.at("w"), 7);
