Servers load weights at the pace that is carried, and replaced versions are skipped

Change: load_pace learns how many loads are carried; a server whose weights were soon replaced waits until they cost as much as a load or their time is over; one that loads for another giver of orders counts; reports older than an order are not believed; peers hear of a load when it is accepted or seen.

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -206,10 +206,12 @@
             learn_weights(model, it.version, now - std::chrono::milliseconds(it.age_ms), true);
     }
     for (const auto& it : report.notices) {
-        if (it.changing)
+        if (it.changing) {
             state_.router.on_change_announced(it.server, it.model, it.version, now);
-        else
-            state_.router.on_weights(it.server, it.model, it.version);
+            continue;
+        }
+        state_.router.on_weights(it.server, it.model, it.version);
+        state_.router.on_change_ended(it.server);
     }
     for (const auto& it : report.departures) {
         if (state_.directory.on_departure(it, coordination::departure_source::peer, now))
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <string>
 
+#include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/coordination/time.h"
 #include "azureyoke/src/state/traffic_policy.h"
 
@@ -39,6 +40,11 @@
 constexpr coordination::duration rejection_wait = std::chrono::milliseconds(100);
 constexpr std::size_t most_rejection_bytes = 16 * 1024;
 
+/// \brief How long after new weights are named servers with older ones may still be used.
+inline coordination::duration oldest_allowed(const forward_settings& settings) {
+    return std::chrono::milliseconds(settings.weights_limit_ms * old_weights_percent / 100);
+}
+
 /// \brief Milliseconds without an event after which callers give a stream up.
 inline double longest_gap_ms(const state::forward_route& route) {
     return std::max({least_patience_ms, abandoned_targets * static_cast<double>(route.target_ms),
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -110,10 +110,8 @@
 bool forward_session::place() {
     auto now = services_.loop.now();
     if (const auto* wanted = services_.state.wanted(question_.model)) {
-        transport::duration limit = std::chrono::milliseconds(services_.settings.weights_limit_ms *
-                                                              old_weights_percent / 100);
         question_.newest_weights = wanted->known_for(new_weights_grace, now);
-        question_.oldest_weights = wanted->known_for(limit, now);
+        question_.oldest_weights = wanted->known_for(oldest_allowed(services_.settings), now);
     }
     choice_ = services_.state.router.choose(services_.state.directory, question_, now);
     if (!choice_ && !question_.excluded.empty()) {
--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "azureyoke/src/app/forward_rules.h"
 #include "azureyoke/src/transport/boot_clock.h"
 
 namespace azureyoke::app {
@@ -46,8 +47,16 @@
             const auto* wanted = state_.wanted(model);
             if (wanted == nullptr)
                 continue;
-            list.push_back({id, model, state_.router.weights_of(state_.directory, id, model),
-                            wanted->newest(), state_.router.in_flight(id)});
+            coordination::rollout_server made;
+            made.id = id;
+            made.model = model;
+            made.weights = state_.router.weights_of(state_.directory, id, model);
+            made.wanted = wanted->newest();
+            made.load = state_.router.in_flight(id);
+            made.changing = state_.router.changing(state_.directory, id, loop_.now());
+            made.replaced_at = wanted->replaced_at(made.weights).value_or(loop_.now());
+            made.life = wanted->life(made.weights);
+            list.push_back(std::move(made));
         }
     }
     return list;
@@ -90,7 +99,7 @@
         rollout_.clear();
         return;
     }
-    for (const auto& it : rollout_.tick(list, now)) {
+    for (const auto& it : rollout_.tick(list, oldest_allowed(settings_), now)) {
         if (it.step == coordination::weights_step::order)
             order(it);
         else
@@ -158,18 +167,36 @@
     return list;
 }
 
+// Peers send a server that loads no new work: they hear of it as soon as it is known to load, and
+// again when it turns out that it does not.
+void weights_service::on_loading(const coordination::weights_action& action, bool loading) {
+    auto told = std::find_if(told_.begin(), told_.end(), [&](const auto& it) {
+        return it.what.server == action.server && it.what.changing;
+    });
+    if (loading)
+        state_.router.on_change_announced(action.server, action.model, action.weights, loop_.now());
+    else
+        state_.router.on_change_ended(action.server);
+    if (loading == (told != told_.end()))
+        return;
+    auto weights = loading
+                       ? action.weights
+                       : state_.router.weights_of(state_.directory, action.server, action.model);
+    tell({action.server, action.model, weights, loading});
+}
+
 void weights_service::order(const coordination::weights_action& action) {
     const auto* server = state_.directory.find(action.server);
     if (server == nullptr)
         return;
-    state_.router.on_change_announced(action.server, action.model, action.weights, loop_.now());
-    tell({action.server, action.model, action.weights, true});
     log_.write(event_id::order_sent, {{"backend_server", action.server},
                                       {"weights", std::to_string(action.weights)},
                                       {"fence", std::to_string(lease_.fence())}});
     orders_.order(*server, action, settings_.instance, lease_.fence(),
                   [this, action](coordination::order_outcome outcome) {
                       rollout_.on_order(action.server, outcome, loop_.now());
+                      if (outcome == coordination::order_outcome::accepted)
+                          on_loading(action, true);
                       if (outcome == coordination::order_outcome::refused)
                           log_.warn(event_id::order_refused, {{"backend_server", action.server}});
                   });
@@ -184,10 +211,9 @@
             return;
         rollout_.on_look(action.server, seen->orders, seen->busy, loop_.now());
         auto found = seen->weights.find(action.model);
-        if (found == seen->weights.end())
-            return;
-        if (!seen->busy)
+        if (!seen->busy && found != seen->weights.end())
             state_.router.on_weights(action.server, action.model, found->second);
+        on_loading(action, seen->busy);
     });
 }
 
--- a/azureyoke/src/app/weights_service.h
+++ b/azureyoke/src/app/weights_service.h
@@ -40,6 +40,7 @@
     void run(const coordination::lease_action& action);
     void order(const coordination::weights_action& action);
     void look(const coordination::weights_action& action);
+    void on_loading(const coordination::weights_action& action, bool loading);
     void tell_completed();
     void tell(const weights_notice& notice);
 
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -97,7 +97,9 @@
         if (made.weights < question.oldest_weights)
             continue;
         made.rank = internal::hash_of(it->id, affinity);
-        made.usable_from = std::max(view.suspended_until, view.changing_until);
+        bool changes = view.change.model == question.model && made.weights < view.change.version;
+        made.usable_from =
+            changes ? std::max(view.suspended_until, view.change.until) : view.suspended_until;
         made.usable = made.usable_from <= now;
         list.push_back(made);
     }
@@ -334,9 +336,20 @@
 
 void fleet_router::on_change_announced(const std::string& server, const std::string& model,
                                        std::int64_t version, instant now) {
-    auto& view = views_[server];
-    if (view.weights[model] < version)
-        view.changing_until = now + settings_.change_pause;
+    views_[server].change = {model, version, now + settings_.change_pause};
+}
+
+void fleet_router::on_change_ended(const std::string& server) {
+    views_[server].change = {};
+}
+
+bool fleet_router::changing(const fleet_directory& directory, const std::string& server,
+                            instant now) const {
+    auto found = views_.find(server);
+    if (found == views_.end())
+        return false;
+    const auto& change = found->second.change;
+    return now < change.until && weights_of(directory, server, change.model) < change.version;
 }
 
 void fleet_router::on_weights(const std::string& server, const std::string& model,
@@ -346,7 +359,6 @@
     if (version <= known)
         return;
     known = version;
-    view.changing_until = {};
 }
 
 void fleet_router::forget(const std::string& server) {
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -127,6 +127,10 @@
     /// \brief The server was ordered to take these weights and refuses new work until it has.
     void on_change_announced(const std::string& server, const std::string& model,
                              std::int64_t version, instant now);
+    /// \brief The server takes new work again, whether it has taken new weights or not.
+    void on_change_ended(const std::string& server);
+    /// \brief Whether the server was said to take new weights and is not known to have them yet.
+    bool changing(const fleet_directory& directory, const std::string& server, instant now) const;
     /// \brief The server has weights of `version`; what it had cached is gone if they are new.
     void on_weights(const std::string& server, const std::string& model, std::int64_t version);
     void forget(const std::string& server);
@@ -154,6 +158,14 @@
     int in_flight(const std::string& server) const;
 
 private:
+    /// A server that was said to take `version` of a model, and does no new work for it until it
+    /// has.
+    struct weights_change {
+        std::string model;
+        std::int64_t version = 0;
+        instant until; ///< Believed so long.
+    };
+
     struct server_view {
         server_work own;
         server_work peers; ///< Sum over all peers.
@@ -163,7 +175,7 @@
         int failures = 0; ///< In a row.
         instant suspended_until;
         duration suspension{};
-        instant changing_until;
+        weights_change change; ///< The last one announced.
         instant rests_until; ///< It asked for no request before that; kept even if all others fail.
         double slowness = 1; ///< Learned time to the first answer against the estimate.
         double error_share = 0;
--- a/azureyoke/src/coordination/named_weights.cpp
+++ b/azureyoke/src/coordination/named_weights.cpp
@@ -20,6 +20,20 @@
     return found;
 }
 
+std::optional<instant> named_weights::replaced_at(std::int64_t version) const {
+    auto next = since_.upper_bound(version);
+    return next == since_.end() ? std::nullopt : std::optional(next->second.at);
+}
+
+std::optional<duration> named_weights::life(std::int64_t version) const {
+    auto own = since_.find(version);
+    auto next = since_.upper_bound(version);
+    if (own == since_.end() || next == since_.end() || !own->second.certain ||
+        !next->second.certain)
+        return std::nullopt;
+    return next->second.at - own->second.at;
+}
+
 std::vector<weights_age> named_weights::ages(duration limit, instant now) const {
     std::vector<weights_age> list;
     auto due = known_for(limit, now);
--- a/azureyoke/src/coordination/named_weights.h
+++ b/azureyoke/src/coordination/named_weights.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "azureyoke/src/coordination/time.h"
@@ -32,6 +33,11 @@
 
     /// \returns the newest version that was known for `age`; 0 when none was.
     std::int64_t known_for(duration age, instant now) const;
+    /// \returns when the first version newer than `version` was named; nothing when none was.
+    std::optional<instant> replaced_at(std::int64_t version) const;
+    /// \returns for how long `version` was the newest; nothing when that is not known for certain.
+    std::optional<duration> life(std::int64_t version) const;
+
     /// \brief What a peer needs that knows nothing of before: the versions younger than `limit`
     /// and the newest of the others, with certain times only, oldest first.
     std::vector<weights_age> ages(duration limit, instant now) const;
--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -280,3 +280,25 @@
     it.router.forget("s0");
     cr_assert(it.router.choose(it.directory, question, start + std::chrono::hours(1)));
 }
+
+Test(fleet_router, server_that_registered_with_its_new_weights_gets_work_again) {
+    router_fixture it;
+    auto question = router_fixture::prompt("t");
+    auto home = it.router.choose(it.directory, question, start)->server;
+    it.router.on_change_announced(home, "m", 2, start);
+    cr_assert(it.router.changing(it.directory, home, start));
+    auto entry = *it.directory.find(home);
+    entry.models["m"] = 2;
+    it.directory.put(entry);
+    cr_assert_not(it.router.changing(it.directory, home, start));
+    cr_assert_eq(it.router.choose(it.directory, question, start)->server, home);
+}
+
+Test(fleet_router, server_that_did_not_take_its_order_gets_work_again) {
+    router_fixture it;
+    auto question = router_fixture::prompt("t");
+    auto home = it.router.choose(it.directory, question, start)->server;
+    it.router.on_change_announced(home, "m", 2, start);
+    it.router.on_change_ended(home);
+    cr_assert_eq(it.router.choose(it.directory, question, start)->server, home);
+}
--- /dev/null
+++ b/test/weights_load_test.cpp
@@ -0,0 +1,244 @@
+// How fast and how gently a fleet takes new weights when loads slow each other.
+#include "azureyoke/src/coordination/weights_rollout.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace azureyoke;
+using namespace azureyoke::coordination;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr duration tick_period = milliseconds(100);
+constexpr std::size_t report_lag = 3; ///< Ticks by which a server's reports are old.
+
+struct loading_fleet {
+    int servers = 9;
+    int full_speed = 2; ///< So many loads at once take no longer than one.
+    duration load = milliseconds(1800);
+    /// The servers must have named weights within this time.
+    duration limit = seconds(15);
+    std::vector<duration> namings; ///< Of versions 2, 3, and so on, from the start.
+    std::string silent;            ///< A server that answers nothing once it loads.
+};
+
+/// Servers that share what carries their loads, and one giver of orders.
+class loading_world {
+public:
+    explicit loading_world(const loading_fleet& fleet) : fleet_(fleet) {
+        for (int i = 0; i < fleet.servers; ++i)
+            servers_["s" + std::to_string(i)] = {};
+    }
+
+    void run(duration how_long) {
+        for (now_ = start; now_ < start + how_long; now_ += tick_period) {
+            while (versions() - 1 < static_cast<std::int64_t>(fleet_.namings.size()) &&
+                   now_ - start >= fleet_.namings[static_cast<std::size_t>(versions() - 1)])
+                named_at_.push_back(now_);
+            advance();
+            std::vector<rollout_server> list;
+            for (const auto& [id, it] : servers_)
+                list.push_back(seen(id, it));
+            for (const auto& it : rollout_.tick(list, fleet_.limit * 65 / 100, now_))
+                act(it);
+        }
+    }
+
+    /// \returns how long after its naming each server had `version` or a newer one.
+    duration in_place_after(std::int64_t version) const {
+        auto found = in_place_at_.find(version);
+        return found == in_place_at_.end()
+                   ? duration::max()
+                   : found->second - named_at_[static_cast<std::size_t>(version - 1)];
+    }
+
+    int loads() const { return loads_; }
+
+    int orders() const { return orders_; }
+
+    std::size_t most_loading(duration from = {}) const {
+        std::size_t most = 0;
+        for (const auto& [at, n] : loading_at_)
+            most = at >= start + from ? std::max(most, n) : most;
+        return most;
+    }
+
+private:
+    struct server {
+        std::int64_t weights = 1;
+        std::int64_t orders = 0;
+        std::int64_t loading = 0;
+        double left_s = 0; ///< Of the load under way, at full speed.
+    };
+
+    std::int64_t versions() const { return static_cast<std::int64_t>(named_at_.size()); }
+
+    rollout_server seen(const std::string& id, const server& it) const {
+        rollout_server made;
+        made.id = id;
+        made.model = "m";
+        made.weights = it.weights;
+        made.wanted = versions();
+        if (it.weights < versions())
+            made.replaced_at = named_at_[static_cast<std::size_t>(it.weights)];
+        if (it.weights > 1 && it.weights < versions())
+            made.life = made.replaced_at - named_at_[static_cast<std::size_t>(it.weights - 1)];
+        return made;
+    }
+
+    void act(const weights_action& it) {
+        auto& target = servers_[it.server];
+        if (it.server == fleet_.silent && target.loading != 0)
+            return;
+        if (it.step == weights_step::look) {
+            auto said = report(it.server);
+            rollout_.on_look(it.server, said.orders, said.loading != 0, now_);
+            return;
+        }
+        ++orders_;
+        if (target.loading != 0 || it.orders != target.orders) {
+            rollout_.on_order(it.server, order_outcome::conflict, now_);
+            return;
+        }
+        ++target.orders;
+        ++loads_;
+        target.loading = it.weights;
+        target.left_s = to_seconds(fleet_.load);
+        rollout_.on_order(it.server, order_outcome::accepted, now_);
+    }
+
+    /// What the server says of itself, which is as of some time ago.
+    const server& report(const std::string& id) const {
+        const auto& past = past_.at(id);
+        return past.size() > report_lag ? past[past.size() - 1 - report_lag] : past.front();
+    }
+
+    void advance() {
+        std::size_t loading = 0;
+        for (const auto& [id, it] : servers_)
+            loading += it.loading != 0 ? 1 : 0;
+        double speed =
+            std::min(1.0, fleet_.full_speed / std::max(1.0, static_cast<double>(loading)));
+        for (auto& [id, it] : servers_) {
+            if (it.loading == 0 || id == fleet_.silent)
+                continue;
+            it.left_s -= speed * to_seconds(tick_period);
+            if (it.left_s <= 1e-6)
+                it.weights = std::exchange(it.loading, 0);
+        }
+        for (const auto& [id, it] : servers_)
+            past_[id].push_back(it);
+        loading_at_[now_] = loading;
+        auto oldest = std::min_element(servers_.begin(), servers_.end(), [](auto& a, auto& b) {
+                          return a.second.weights < b.second.weights;
+                      })->second.weights;
+        for (std::int64_t version = 2; version <= oldest; ++version)
+            in_place_at_.emplace(version, now_);
+    }
+
+    static constexpr instant start{seconds(100)};
+
+    loading_fleet fleet_;
+    weights_rollout rollout_{weights_rollout_settings{}};
+    instant now_ = start;
+    std::map<std::string, server> servers_;
+    std::vector<instant> named_at_ = {start - std::chrono::hours(1)};
+    std::map<std::int64_t, instant> in_place_at_;
+    std::map<instant, std::size_t> loading_at_;
+    std::map<std::string, std::vector<server>> past_; ///< By tick.
+    int loads_ = 0;
+    int orders_ = 0;
+};
+
+void expect_in_time(const loading_world& world, const loading_fleet& fleet) {
+    for (std::size_t i = 0; i < fleet.namings.size(); ++i) {
+        auto version = static_cast<std::int64_t>(i) + 2;
+        cr_assert_leq(to_seconds(world.in_place_after(version)), to_seconds(fleet.limit),
+                      "version %d is late", static_cast<int>(version));
+    }
+}
+
+} // namespace
+
+Test(weights_load, three_quarters_go_on_working_while_versions_follow_each_other) {
+    loading_fleet fleet;
+    fleet.namings = {seconds(0), seconds(3), seconds(7), seconds(11)};
+    loading_world world(fleet);
+    world.run(seconds(40));
+    cr_assert_leq(world.most_loading(), 2U);
+    expect_in_time(world, fleet);
+}
+
+Test(weights_load, server_loads_at_most_twice_while_versions_follow_each_other) {
+    // Once to leave the oldest weights in time, and once for the last ones, which are named before
+    // the time of the second ones is over.
+    loading_fleet fleet;
+    fleet.limit = seconds(20);
+    fleet.namings = {seconds(0), seconds(3), seconds(7), seconds(11)};
+    loading_world world(fleet);
+    world.run(seconds(40));
+    cr_assert_leq(world.loads(), 2 * fleet.servers);
+}
+
+Test(weights_load, server_that_accepted_an_order_is_not_ordered_again) {
+    loading_fleet fleet;
+    fleet.namings = {seconds(0)};
+    loading_world world(fleet);
+    world.run(seconds(40));
+    cr_assert_eq(world.orders(), fleet.servers);
+}
+
+Test(weights_load, large_fleets_have_the_weights_in_time) {
+    loading_fleet fleet;
+    fleet.namings = {seconds(0)};
+    fleet.servers = 57;
+    fleet.full_speed = 11;
+    fleet.limit = seconds(20);
+    loading_world middle(fleet);
+    middle.run(seconds(40));
+    expect_in_time(middle, fleet);
+    fleet.servers = 117;
+    fleet.full_speed = 23;
+    fleet.load = milliseconds(320);
+    fleet.limit = seconds(8);
+    loading_world large(fleet);
+    large.run(seconds(40));
+    expect_in_time(large, fleet);
+    cr_assert_leq(large.most_loading(), 117U / 4);
+}
+
+Test(weights_load, fleet_that_carries_few_loads_soon_has_few_at_once) {
+    loading_fleet fleet;
+    fleet.namings = {seconds(0)};
+    fleet.servers = 40;
+    fleet.limit = seconds(120);
+    loading_world world(fleet);
+    world.run(seconds(60));
+    cr_assert_leq(world.most_loading(seconds(15)), 4U);
+    cr_assert_leq(to_seconds(world.in_place_after(2)), 40 * 1.8 / 2 * 1.25);
+}
+
+Test(weights_load, silent_server_does_not_keep_the_others_waiting) {
+    loading_fleet fleet;
+    fleet.namings = {seconds(0)};
+    fleet.silent = "s0";
+    loading_world world(fleet);
+    world.run(seconds(15));
+    cr_assert_eq(world.loads(), fleet.servers);
+}
+
+Test(weights_load, long_lived_weights_are_replaced_at_once) {
+    loading_fleet fleet;
+    fleet.namings = {seconds(0), seconds(30)};
+    loading_world world(fleet);
+    world.run(seconds(60));
+    cr_assert_leq(to_seconds(world.in_place_after(3)), 5 * 2.3);
+}
