The number of servers that load at once doubles with each round

Change: a load counts the most that were under way beside it; until loads lengthen each one that ended in its shortest time raises the number; the first number is a sixteenth of the servers. Tests: load_pace/number_doubles... failed first.

--- a/azureyoke/src/coordination/load_pace.cpp
+++ b/azureyoke/src/coordination/load_pace.cpp
@@ -5,9 +5,12 @@
 namespace azureyoke::coordination {
 
 std::size_t load_pace::at_once(std::size_t servers) const {
-    auto most = static_cast<std::size_t>(settings_.most_share * static_cast<double>(servers));
-    return std::clamp<std::size_t>(learned_.value_or(settings_.first), 1,
-                                   std::max(settings_.first, most));
+    auto share = [&](double part) {
+        return static_cast<std::size_t>(part * static_cast<double>(servers));
+    };
+    auto first = std::max(settings_.least_first, share(settings_.first_share));
+    auto most = std::max(settings_.least_first, share(settings_.most_share));
+    return std::clamp<std::size_t>(learned_.value_or(first), 1, most);
 }
 
 void load_pace::on_load(duration took, std::size_t beside, std::size_t servers) {
@@ -23,9 +26,11 @@
         slowed_once_ = true;
         return;
     }
+    if (2 * beside < current)
+        return; // so few at once say nothing of more
     // Until loads lengthen for the first time the number doubles with each round of them.
     ++in_time_;
-    if (beside < current || (slowed_once_ && in_time_ < current))
+    if (slowed_once_ && in_time_ < current)
         return;
     learned_ = current + 1;
     in_time_ = 0;
--- a/azureyoke/src/coordination/load_pace.h
+++ b/azureyoke/src/coordination/load_pace.h
@@ -8,7 +8,9 @@
 namespace azureyoke::coordination {
 
 struct load_pace_settings {
-    std::size_t first = 2; ///< Loads at once before anything was learned.
+    /// Share of the servers that load at once before anything was learned, and at least so many.
+    double first_share = 0.0625;
+    std::size_t least_first = 2;
     /// Share of the servers that the others can do without.
     double most_share = 0.25;
     /// A load is slowed by others when it takes so many times as long as the shortest one, and
@@ -33,7 +35,7 @@
     /// \returns how many of `servers` may load at once. \pre `servers` > 0.
     std::size_t at_once(std::size_t servers) const;
 
-    /// \brief A load ended. `beside`: loads under way at its start, itself included.
+    /// \brief A load ended. `beside`: most loads under way at a time meanwhile, itself included.
     void on_load(duration took, std::size_t beside, std::size_t servers);
 
     /// \returns the shortest time that a load took, a guess before the first.
--- a/azureyoke/src/coordination/weights_rollout.cpp
+++ b/azureyoke/src/coordination/weights_rollout.cpp
@@ -120,7 +120,9 @@
         changing.heard = now;
     if (outcome == order_outcome::accepted) {
         changing.loads_since = now;
-        changing.beside = loads(now);
+        auto n = loads(now);
+        for (auto& [id, it] : changes_)
+            it.beside = it.loads_since ? std::max(it.beside, n) : 0;
         changing.accepted_after = orders;
     }
     switch (outcome) {
--- a/azureyoke/src/coordination/weights_rollout.h
+++ b/azureyoke/src/coordination/weights_rollout.h
@@ -101,7 +101,7 @@
         instant heard;                      ///< Last answer to an order or a look.
         std::optional<instant> loads_since; ///< When the server accepted the order.
         std::int64_t accepted_after = 0;    ///< Orders accepted before that one.
-        std::size_t beside = 0;             ///< Loads under way then, itself included.
+        std::size_t beside = 0;             ///< Most loads under way since, itself included.
         std::int64_t ordered = 0;           ///< Weights of the last order.
     };
 
--- a/test/weights_load_test.cpp
+++ b/test/weights_load_test.cpp
@@ -242,3 +242,23 @@
     world.run(seconds(60));
     cr_assert_leq(to_seconds(world.in_place_after(3)), 5 * 2.3);
 }
+
+Test(load_pace, number_doubles_with_each_round_until_loads_lengthen) {
+    load_pace pace({});
+    constexpr std::size_t servers = 117;
+    auto first = pace.at_once(servers);
+    for (std::size_t i = 0; i < first; ++i)
+        pace.on_load(seconds(2), first, servers);
+    cr_assert_eq(pace.at_once(servers), 2 * first);
+    pace.on_load(seconds(4), 2 * first, servers);
+    cr_assert_eq(pace.at_once(servers), first);
+}
+
+Test(load_pace, loads_that_were_few_at_a_time_do_not_raise_the_number) {
+    load_pace pace({});
+    constexpr std::size_t servers = 117;
+    auto first = pace.at_once(servers);
+    for (int i = 0; i < 20; ++i)
+        pace.on_load(seconds(2), 1, servers);
+    cr_assert_eq(pace.at_once(servers), first);
+}
--- a/test/weights_rollout_test.cpp
+++ b/test/weights_rollout_test.cpp
@@ -141,7 +141,7 @@
 
 Test(weights_rollout, servers_with_the_oldest_weights_change_first) {
     weights_rollout_settings settings;
-    settings.pace.first = 1;
+    settings.pace.least_first = 1;
     weights_rollout rollout(settings);
     auto actions = rollout.tick({server("a", 2, 3), server("b", 1, 3, 9)}, allowed, start);
     cr_assert_eq(actions.size(), 1U);
@@ -150,7 +150,7 @@
 
 Test(weights_rollout, least_loaded_of_equals_changes_first) {
     weights_rollout_settings settings;
-    settings.pace.first = 1;
+    settings.pace.least_first = 1;
     weights_rollout rollout(settings);
     auto actions = rollout.tick({server("a", 1, 2, 5), server("b", 1, 2, 1)}, allowed, start);
     cr_assert_eq(actions[0].server, "b");
