Other data centres hear of work and placed prompts twice a second

Change: news of work and prompts goes to the own data centre at once, to the others twice a second, with all prompts placed meanwhile; what limits and policies depend on goes to all at once as before. Test: peer_board/other_data_centres_are_told_later_of_all_that_was_placed_meanwhile.

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -1,5 +1,7 @@
 #include "azureyoke/src/app/forward_instance.h"
 
+#include <algorithm>
+
 #include "azureyoke/src/app/wall_clock.h"
 #include "azureyoke/src/transport/backend_fetch.h"
 
@@ -45,7 +47,7 @@
       state_(settings_), services_{settings_, loop_,  backends_, world_.dialect, state_,
                                    log_,      lines_, metrics_,  history_,       false},
       peers_(
-          loop, settings_, world_.records, log_, [this] { return report(); },
+          loop, settings_, world_.records, log_, [this](auto to) { return report(to); },
           [this](const auto& it) { on_peer_report(it); }),
       weights_(loop, settings_, incarnation_, state_, world_.records, world_.orders, peers_, log_),
       callers_(
@@ -166,9 +168,10 @@
     }
 }
 
-peer_report forward_instance::report() {
+peer_report forward_instance::report(peer_board::reach to) {
     peer_report made;
     made.instance = settings_.instance;
+    made.data_centre = settings_.data_centre;
     made.incarnation = incarnation_;
     made.peers = transport::to_string(settings_.peers);
     made.operators = transport::to_string(settings_.operators);
@@ -177,7 +180,8 @@
     made.policy_version = state_.policy.policy ? state_.policy.policy->version() : 0;
     for (auto& [name, it] : state_.limits) {
         made.spent[name] = it.spent();
-        it.on_reported();
+        if (to == peer_board::reach::fleet)
+            it.on_reported();
     }
     auto limit = std::chrono::milliseconds(settings_.weights_limit_ms);
     for (const auto& [model, it] : state_.weights) {
@@ -261,11 +265,12 @@
     state_.router.expire_peers(now);
     for (auto& [model, it] : state_.weights)
         it.trim(std::chrono::milliseconds(settings_.weights_limit_ms), now);
-    bool due = state_.router.news_for_peers();
-    for (const auto& [name, it] : state_.limits)
-        due = due || it.report_due();
-    if (due)
+    bool spent = std::any_of(state_.limits.begin(), state_.limits.end(),
+                             [](const auto& it) { return it.second.report_due(); });
+    if (spent)
         peers_.send_now();
+    else if (state_.router.news_for_peers())
+        peers_.send_now(peer_board::reach::data_centre);
 }
 
 bool forward_instance::ready() const {
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -49,7 +49,7 @@
     void on_unreadable(const std::string& row, const std::string& why) override;
     void on_registry(bool reachable, const std::string& why) override;
 
-    peer_report report();
+    peer_report report(peer_board::reach to);
     void on_peer_report(const peer_report& report);
     void fetch_policy();
     void housekeeping();
--- a/azureyoke/src/app/peer_board.cpp
+++ b/azureyoke/src/app/peer_board.cpp
@@ -110,17 +110,27 @@
         send_now();
 }
 
-void peer_board::send_now() {
+bool peer_board::is_near(const peer& it) const {
+    return it.last.data_centre == settings_.data_centre;
+}
+
+void peer_board::send_now(reach to) {
     auto now = loop_.now();
-    next_send_ = now + internal::report_period;
-    auto report = source_();
+    auto report = source_(to);
     report.leaving = leaving_;
-    auto messages = to_messages(std::move(report), transport::most_datagram_bytes);
-    if (messages.empty())
+    auto near = to_messages(report, transport::most_datagram_bytes);
+    if (near.empty())
         log_.warn(event_id::peer_message_refused, {{"why", "a report is larger than a datagram"}});
+    untold_.insert(untold_.end(), report.placed.begin(), report.placed.end());
+    std::vector<std::string> far;
+    if (to == reach::fleet) {
+        next_send_ = now + internal::report_period;
+        report.placed = std::exchange(untold_, {});
+        far = to_messages(std::move(report), transport::most_datagram_bytes);
+    }
     std::set<transport::address> sent;
-    auto send = [&](const transport::address& at) {
-        if (!sent.insert(at).second)
+    auto send = [&](const transport::address& at, const std::vector<std::string>& messages) {
+        if (messages.empty() || !sent.insert(at).second)
             return;
         for (const auto& bytes : messages)
             socket_.send(at, bytes);
@@ -128,10 +138,10 @@
     for (const auto& [name, it] : peers_) {
         auto known = std::max(it.heard, it.listed);
         if (now - known < internal::gone_after)
-            send(it.at);
+            send(it.at, is_near(it) ? near : far);
     }
     for (const auto& it : seeds_)
-        send(it);
+        send(it, far);
 }
 
 void peer_board::on_datagram(std::string_view bytes) {
--- a/azureyoke/src/app/peer_board.h
+++ b/azureyoke/src/app/peer_board.h
@@ -18,10 +18,14 @@
 ///
 /// Instances find each other by records in the store, by seeds, and by hearing each other. A lost
 /// report is made good by the next one. Not thread safe.
-
+///
+/// What changes with every request goes to the own data centre as often as there is news; the
+/// others get all of it twice a second, and at once what limits and policies depend on.
 class peer_board {
 public:
-    using report_source = std::function<peer_report()>;
+    enum class reach { data_centre, fleet };
+
+    using report_source = std::function<peer_report(reach)>;
     using report_handler = std::function<void(const peer_report&)>;
 
     struct members {
@@ -37,8 +41,8 @@
     transport::result<transport::address> start();
     /// \brief Operator addresses of instances that may not have been heard yet.
     void add_seeds(const std::vector<transport::address>& seeds);
-    /// \brief Sends a report to all peers now.
-    void send_now();
+    /// \brief Sends a report now.
+    void send_now(reach to = reach::fleet);
     /// \brief Takes this instance off the list; peers stop counting it.
     void leave();
 
@@ -68,6 +72,7 @@
     void read_records();
     void write_record();
     void tick();
+    bool is_near(const peer& it) const;
 
     transport::event_loop& loop_;
     const forward_settings& settings_;
@@ -78,6 +83,8 @@
     transport::datagram_socket socket_;
     std::map<std::string, peer> peers_;
     std::set<transport::address> seeds_; ///< Peers not heard yet.
+    /// Prompts of which only the own data centre was told.
+    std::vector<coordination::placed_prompt> untold_;
     std::unique_ptr<transport::timer> tick_timer_;
     std::unique_ptr<transport::timer> retry_timer_;
     transport::instant started_;
--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -44,7 +44,8 @@
                  report.reaches_registry,
                  work,
                  placed,
-                 departures};
+                 departures,
+                 report.data_centre};
     std::string bytes;
     json::to_cbor(body, bytes);
     return bytes;
@@ -91,7 +92,7 @@
     try {
         // Sizes that can't be are thrown even where faults are not.
         auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-        if (!body.is_array() || body.size() != 14)
+        if (!body.is_array() || body.size() != 15)
             return std::nullopt;
         peer_report made;
         made.instance = body[0].get<std::string>();
@@ -121,6 +122,7 @@
                 {it.at(0).get<std::string>(), it.at(1).get<std::vector<std::uint64_t>>()});
         for (const auto& it : body[13])
             made.departures.push_back({it.at(0).get<std::string>(), it.at(1).get<std::int64_t>()});
+        made.data_centre = body[14].get<std::string>();
         return made;
     } catch (const json::exception&) {
         return std::nullopt; // no report, or a field of another type: the sender is none of ours
--- a/azureyoke/src/app/peer_report.h
+++ b/azureyoke/src/app/peer_report.h
@@ -25,6 +25,7 @@
 /// \brief What one instance tells the others, in one datagram.
 struct peer_report {
     std::string instance;
+    std::string data_centre;
     std::uint64_t incarnation = 0;
     std::string peers;     ///< Address for these reports.
     std::string operators; ///< Address from which the policy can be read.
--- a/test/peer_board_test.cpp
+++ b/test/peer_board_test.cpp
@@ -1,5 +1,7 @@
 #include "azureyoke/src/app/peer_board.h"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 using namespace azureyoke;
@@ -28,17 +30,22 @@
     silent_store store;
     app::forward_settings settings;
     app::event_log log{"test"};
+    std::vector<app::peer_report> heard;
     app::peer_board board;
 
-    board_fixture(transport::event_loop& on, int number, std::uint16_t port)
-        : loop(on), settings(settings_of(number, port)),
+    board_fixture(transport::event_loop& on, int number, std::uint16_t port,
+                  const std::string& data_centre = "dc")
+        : loop(on), settings(settings_of(number, port, data_centre)),
           board(
-              loop, settings, store, log, [this] { return report(); }, [](const auto&) {}) {
+              loop, settings, store, log, [this](auto) { return report(); },
+              [this](const auto& it) { heard.push_back(it); }) {
         cr_assert(board.start().has_value());
     }
 
-    static app::forward_settings settings_of(int number, std::uint16_t port) {
+    static app::forward_settings settings_of(int number, std::uint16_t port,
+                                             const std::string& data_centre) {
         app::forward_settings made;
+        made.data_centre = data_centre;
         made.instance = "i-" + std::to_string(number);
         made.peers = {"127.0.3." + std::to_string(number), port};
         for (int other : {1, 2, 3})
@@ -50,6 +57,10 @@
         app::peer_report made;
         made.instance = settings.instance;
         made.peers = transport::to_string(settings.peers);
+        made.data_centre = settings.data_centre;
+        made.spent["w"] = 7;
+        made.work.emplace()["s"] = {1, 2};
+        made.placed = {{"s", {1, 2}}};
         return made;
     }
 };
@@ -74,9 +85,35 @@
     cr_assert(first.board.count(loop.now()) == (app::peer_board::members{3, 1}));
 }
 
+Test(peer_board, other_data_centres_are_told_later_of_all_that_was_placed_meanwhile) {
+    transport::event_loop loop;
+    auto port = free_port(loop);
+    board_fixture first(loop, 1, port, "here");
+    board_fixture near(loop, 2, port, "here");
+    board_fixture far(loop, 3, port, "there");
+    auto pulse = loop.every(std::chrono::milliseconds(10), [] {});
+    while (first.board.live(loop.now()).size() < 3)
+        loop.turn(true);
+    near.heard.clear();
+    far.heard.clear();
+    first.board.send_now(app::peer_board::reach::data_centre);
+    first.board.send_now(app::peer_board::reach::fleet);
+    // Reports of the period may come besides.
+    auto placed = [](const auto& list, std::size_t n) {
+        return std::any_of(list.begin(), list.end(), [&](const app::peer_report& it) {
+            return it.instance == "i-1" && it.work && it.placed.size() == n;
+        });
+    };
+    while (!placed(near.heard, 1) || !placed(far.heard, 2))
+        loop.turn(true);
+    for (const auto& it : far.heard)
+        cr_assert_eq(it.spent.at("w"), 7);
+}
+
 Test(peer_report, busy_instance_tells_all_in_messages_that_fit) {
     app::peer_report report;
     report.instance = "instance-num-1";
+    report.data_centre = "centre1";
     for (int i = 0; i < 16; ++i)
         report.spent["workspace" + std::to_string(i)] = 1e6 + i;
     auto& work = report.work.emplace();
