--- a/azureyoke/src/coordination/weights_rollout.h
+++ b/azureyoke/src/coordination/weights_rollout.h
@@ -21,7 +21,7 @@
     duration silence = std::chrono::milliseconds(1500);
     /// A server's report may be so old: it may not know of an order that the server accepted.
     duration report_lag = std::chrono::seconds(1);
-    /// Part of its worth that work on replaced weights loses.
+    /// Part of its worth that work on replaced weights loses, by the users' rules.
     double replaced_loss = 0.2;
 
     friend bool operator==(const weights_rollout_settings&,
--- a/azureyoke/src/state/record_version.h
+++ b/azureyoke/src/state/record_version.h
@@ -2,7 +2,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <string>
 
 namespace azureyoke::state {
 
@@ -22,9 +21,4 @@
     friend auto operator<=>(const record_version&, const record_version&) = default;
 };
 
-/// \brief As logs show it. Thread safe.
-inline std::string to_string(const record_version& version) {
-    return std::to_string(version.era) + "/" + std::to_string(version.number);
-}
-
 } // namespace azureyoke::state
