--- a/azureyoke/src/app/weights_service.cpp
+++ b/azureyoke/src/app/weights_service.cpp
@@ -16,7 +16,7 @@
 constexpr transport::duration notice_life = std::chrono::seconds(2);
 /// So many instances follow the lease, so that one of them can take it over without delay.
 constexpr std::ptrdiff_t watchers = 2;
-/// Before the first return of the store; each later era has a record of its own.
+/// In a store that names no era; each era that is named has a record of its own.
 constexpr const char* lease_record = "lease/weights";
 
 std::string lease_record_of(std::int64_t era) {
