Decode, log and count the request rate that a backend server names

Cause: no log, metric or page tells whether an instance knows that a server limits its rate, so that the hypotheses about the incident cannot be told apart. Change: the dialect reads the rate, with a reason in 3008 for values that are no decimal number; server_limits keeps what answers said, also when they overtake each other; events 4007 and 4008 once for each change; the counter azureyoke_limited_sends_total by server; requests_per_second in /status. Nothing decides on it yet.

--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -46,6 +46,8 @@
         {event_id::replica_removed, "replica_removed"},
         {event_id::replica_rests, "replica_rests"},
         {event_id::replica_leaves, "replica_leaves"},
+        {event_id::replica_limits_rate, "replica_limits_rate"},
+        {event_id::replica_limit_ended, "replica_limit_ended"},
         {event_id::peer_connected, "peer_connected"},
         {event_id::peer_lost, "peer_lost"},
         {event_id::peer_message_refused, "peer_message_refused"},
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -36,6 +36,8 @@
     replica_removed = 4004,
     replica_rests = 4005,
     replica_leaves = 4006,
+    replica_limits_rate = 4007,
+    replica_limit_ended = 4008,
     peer_connected = 5001,
     peer_lost = 5002,
     peer_message_refused = 5003,
--- a/azureyoke/src/app/forward_pages.cpp
+++ b/azureyoke/src/app/forward_pages.cpp
@@ -34,6 +34,8 @@
         row["address"] = it.address;
         row["leaving"] = it.leaving;
         row["in_flight"] = state.router.in_flight(id);
+        if (auto limit = state.server_limits.limit_of(id))
+            row["requests_per_second"] = *limit;
         for (const auto& [model, version] : it.models)
             row["weights"][model] = state.router.weights_of(state.directory, id, model);
     }
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -149,7 +149,10 @@
     std::optional<std::int64_t> weights;
     bool leaving = false;            ///< The server accepts no new requests from now on.
     std::optional<double> backoff_s; ///< Seconds of backoff that the server asked for.
-    std::string ignored_fields;      ///< Field that was ignored or changed, and why; or empty.
+    /// Requests a second that the server takes from all instances together, infinite when it names
+    /// no limit; absent when the answer does not tell.
+    std::optional<double> request_rate;
+    std::string ignored_fields; ///< Field that was ignored or changed, and why; or empty.
 
     friend bool operator==(const answer_info&, const answer_info&) = default;
 };
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -218,6 +218,8 @@
              " uncached prompt tokens, first answer expected in " +
              std::to_string(std::lround(last_estimate_ms_)) + " ms");
     services_.state.router.on_sent(query_, *choice_, sent_at_);
+    if (services_.state.server_limits.limit_of(last_server_))
+        services_.measures.count("azureyoke_limited_sends_total", "backend_server", last_server_);
     call_ = services_.backends.send(*address, request, true, shared_from_this());
     last_event_at_ = sent_at_;
     if (route_->rule == state::execution_rule::stream)
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -52,6 +52,8 @@
     std::string cache_source_address() const;
     /// Applies the server state that the answer's head reports, however the answer is handled.
     void update_server_state(const answer_info& report);
+    /// Applies the request rate that the server accepts; infinite when it names no limit.
+    void update_server_limit(double per_second);
     void start_answer(const transport::http_head& head);
     void record_first_answer();
     void write_to_caller(std::string_view bytes);
--- a/azureyoke/src/app/forward_state.cpp
+++ b/azureyoke/src/app/forward_state.cpp
@@ -29,7 +29,7 @@
 } // namespace internal
 
 forward_state::forward_state(const forward_settings& settings)
-    : directory({}), router(internal::router_settings_of(settings)),
+    : directory({}), router(internal::router_settings_of(settings)), server_limits({}),
       limit_settings_(internal::limit_settings_of(settings)),
       retry_settings_(internal::retry_settings_of(settings)) {}
 
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -15,6 +15,7 @@
 #include "azureyoke/src/coordination/fleet_directory.h"
 #include "azureyoke/src/coordination/fleet_limit.h"
 #include "azureyoke/src/coordination/fleet_router.h"
+#include "azureyoke/src/coordination/server_limits.h"
 #include "azureyoke/src/coordination/service_retry_budget.h"
 #include "azureyoke/src/transport/backend_pool.h"
 
@@ -43,6 +44,7 @@
     bool policy_may_be_old = false;
     coordination::fleet_directory directory;
     coordination::fleet_router router;
+    coordination::server_limits server_limits;
     std::map<std::string, coordination::fleet_limit> limits;
     std::map<std::string, coordination::desired_weights> desired_weights; ///< By model.
     int instances = 1;
