Requests to a server that limits its rate need a permit of one issuing instance

Cause: no instance acted on the rate that a server takes from all instances together. It is a limit shared by the fleet, and the router knew only limits of one instance (backoff, suspension). Change: one instance, chosen by rendezvous hashing among the live ones of the server's data centre, issues a permit for each request to the server; the others ask it by a datagram, wait 200 ms at most and go to another server when denied. Denied instances are told to ask one after the other at the rate of the limit, so that the asking does not grow with their number. Requests for permits and replies carry what each side knows of the limit; an issuer tells those that wait when it rises or ends. An issuer starts without permits and applies the part of the rate of the instances that it sees. Why it works: whoever asks, only one instance counts, so that the sum is exact for 1 or 300 instances and each permit is used where the demand is.

--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -54,6 +54,7 @@
         {event_id::member_suspected, "member_suspected"},
         {event_id::member_removed, "member_removed"},
         {event_id::member_joined, "member_joined"},
+        {event_id::permit_unanswered, "permit_unanswered"},
         {event_id::share_granted, "share_granted"},
         {event_id::share_lease_lapsed, "share_lease_lapsed"},
         {event_id::share_reclaimed, "share_reclaimed"},
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -44,6 +44,7 @@
     member_suspected = 5004,
     member_removed = 5005,
     member_joined = 5006,
+    permit_unanswered = 5007,
     share_granted = 6001,
     share_lease_lapsed = 6002,
     share_reclaimed = 6003,
--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -63,7 +63,7 @@
         services_.log.write(event_id::replica_leaves,
                             {{"backend_server", server}, {"said_by", "answer"}});
     if (report.request_rate)
-        update_server_limit(*report.request_rate);
+        services_.permits.on_answer(server, last_started_ms_, *report.request_rate, sent_at_);
     if (!report.backoff_s || *report.backoff_s <= 0)
         return;
     state.router.on_backoff(server, *report.backoff_s, now);
@@ -74,19 +74,6 @@
                              {"left_out", std::to_string(left_out)}});
 }
 
-void forward_session::update_server_limit(double per_second) {
-    using change = coordination::server_limits::change;
-    auto changed = services_.state.server_limits.on_answer(
-        choice_->server, last_started_ms_, per_second, sent_at_, services_.loop.now());
-    if (changed == change::none)
-        return;
-    auto event =
-        changed == change::named ? event_id::replica_limits_rate : event_id::replica_limit_ended;
-    services_.log.write(event, {{"backend_server", choice_->server},
-                                {"per_second", std::to_string(per_second)},
-                                {"said_by", "answer"}});
-}
-
 void forward_session::start_answer(const transport::http_head& head) {
     // A stream that may continue at another server has no known length.
     std::optional<std::uint64_t> length;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -44,14 +44,16 @@
     : loop_(loop), settings_(std::move(settings)), dependencies_(dependencies),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
       log_limiter_(static_cast<int>(settings_.log_lines_per_second)),
-      history_(internal::max_traces), backends_(loop, {}),
-      state_(settings_), services_{settings_, loop_, backends_,    dependencies_.dialect,
-                                   state_,    log_,  log_limiter_, metrics_,
-                                   history_,  false},
+      history_(internal::max_traces), backends_(loop, {}), state_(settings_),
       peers_(
           loop, settings_, dependencies_.records, log_,
           [this](auto scope) { return report(scope); },
-          [this](const auto& it) { on_peer_report(it); }),
+          [this](const auto& it) { on_peer_report(it); },
+          [this](std::string_view bytes) { return permits_.on_datagram(bytes); }),
+      permits_(loop, settings_, state_, peers_, log_, log_limiter_, metrics_),
+      services_{settings_, loop_,    backends_,    dependencies_.dialect,
+                state_,    log_,     log_limiter_, metrics_,
+                history_,  permits_, false},
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
@@ -65,7 +67,7 @@
           [this](const auto& exchange) {
               exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
           }),
-      pages_({settings_, loop_, metrics_, history_, state_, peers_, weights_,
+      pages_({settings_, loop_, metrics_, history_, state_, peers_, permits_, weights_,
               [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }, [this] { return registry_era_; }}),
       operators_(loop, {}, [this](const auto& exchange) {
@@ -287,6 +289,7 @@
     state_.policy_may_be_old =
         !registry_reached_lately && now - registry_lost_at_ >= internal::stale_policy_timeout;
     state_.router.expire_peers(now);
+    permits_.tick();
     for (auto& [model, it] : state_.desired_weights)
         it.drop_obsolete(std::chrono::milliseconds(settings_.weights_limit_ms), now);
     bool limit_report_due = std::any_of(state_.limits.begin(), state_.limits.end(),
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -6,6 +6,7 @@
 #include "azureyoke/src/app/forward_pages.h"
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/app/peer_directory.h"
+#include "azureyoke/src/app/permit_service.h"
 #include "azureyoke/src/app/weights_service.h"
 
 namespace azureyoke::app {
@@ -74,8 +75,9 @@
     request_history history_;
     transport::backend_pool backends_;
     forward_state state_;
-    forward_services services_;
     peer_directory peers_;
+    permit_service permits_;
+    forward_services services_;
     weights_service weights_;
     transport::front_server callers_;
     transport::front_server readiness_;
--- a/azureyoke/src/app/forward_pages.cpp
+++ b/azureyoke/src/app/forward_pages.cpp
@@ -26,7 +26,7 @@
     return list;
 }
 
-ordered_json servers_of(const forward_state& state) {
+ordered_json servers_of(const forward_state& state, permit_service& permits) {
     ordered_json list = ordered_json::object();
     for (const auto& [id, it] : state.directory.all()) {
         auto& row = list[id];
@@ -34,8 +34,10 @@
         row["address"] = it.address;
         row["leaving"] = it.leaving;
         row["in_flight"] = state.router.in_flight(id);
-        if (auto limit = state.server_limits.limit_of(id))
+        if (auto limit = state.server_limits.limit_of(id)) {
             row["requests_per_second"] = *limit;
+            row["permit_issuer"] = permits.issuer_of(id);
+        }
         for (const auto& [model, version] : it.models)
             row["weights"][model] = state.router.weights_of(state.directory, id, model);
     }
@@ -80,7 +82,7 @@
     page["weights"] = ordered_json::object();
     for (const auto& [model, it] : state.desired_weights)
         page["weights"][model] = it.newest();
-    page["backend_servers"] = internal::servers_of(state);
+    page["backend_servers"] = internal::servers_of(state, sources_.permits);
     page["limits"] = internal::limits_of(state, now);
     return page.dump() + "\n";
 }
--- a/azureyoke/src/app/forward_pages.h
+++ b/azureyoke/src/app/forward_pages.h
@@ -6,6 +6,7 @@
 
 #include "azureyoke/src/app/forward_state.h"
 #include "azureyoke/src/app/peer_directory.h"
+#include "azureyoke/src/app/permit_service.h"
 #include "azureyoke/src/app/weights_service.h"
 #include "azureyoke/src/transport/http_message.h"
 
@@ -19,6 +20,7 @@
     const request_history& history;
     forward_state& state;
     const peer_directory& peers;
+    permit_service& permits;
     const weights_service& weights;
     std::function<bool()> ready;
     std::function<bool()> draining;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 
 #include "azureyoke/src/app/forward_rules.h"
-#include "azureyoke/src/coordination/retry_after.h"
 
 namespace azureyoke::app {
 
@@ -144,19 +143,32 @@
                bounded_retry_after(excess + min_retry_after_s));
         return;
     }
-    send_request();
+    if (services_.permits.required(choice_->server))
+        request_permit();
+    else
+        send_request();
+}
+
+void forward_session::request_permit() {
+    // Without a choice the request counts as not under way: nothing was sent yet.
+    auto choice = *std::exchange(choice_, std::nullopt);
+    services_.permits.acquire(choice.server, [self = shared_from_this(), choice](bool granted) {
+        self->on_permit(choice, granted);
+    });
 }
 
-void forward_session::refuse_no_server() {
-    int status = may_have_run_ ? 502 : 503;
-    auto backoff = services_.state.router.backoff_remaining(services_.state.directory, pool_,
-                                                            services_.loop.now());
-    if (backoff)
-        refuse(status, "each usable backend server of pool \"" + pool_ + "\" asked for rest",
-               coordination::to_seconds(coordination::retry_after_delay(*backoff, query_.number)));
+void forward_session::on_permit(const coordination::server_choice& choice, bool granted) {
+    if (finished_)
+        return;
+    if (granted) {
+        choice_ = choice;
+        send_request();
+        return;
+    }
+    if (++denied_permits_ < max_denied_permits)
+        dispatch();
     else
-        refuse(status, "no backend server of pool \"" + pool_ + "\" is usable",
-               bounded_retry_after(retry_after_no_server_s));
+        refuse_no_server();
 }
 
 forward_directive forward_session::make_directive() const {
@@ -288,90 +300,4 @@
     refuse(may_have_run_ ? 502 : 503, why, bounded_retry_after(retry_after_no_server_s));
 }
 
-void forward_session::on_deadline() {
-    if (finished_)
-        return;
-    auto self = shared_from_this();
-    bool under_way = choice_.has_value();
-    if (under_way)
-        end_call(first_answer_seen_ ? call_outcome::cancelled : call_outcome::incomplete);
-    refuse(under_way || may_have_run_ ? 504 : 503,
-           exchange_->started() ? "its time is over" : "no answer in the route's time");
-}
-
-void forward_session::on_caller_closed() {
-    if (finished_)
-        return;
-    if (choice_)
-        end_call(call_outcome::cancelled);
-    finish(event_id::caller_left, "the caller closed the connection");
-}
-
-void forward_session::end_call(call_outcome outcome) {
-    services_.state.router.on_call_outcome(*choice_, outcome, services_.loop.now());
-    choice_.reset();
-    answer_timer_.reset();
-    call_.reset();
-}
-
-double forward_session::bounded_retry_after(double seconds) const {
-    return std::max(0.0, std::min(seconds, remaining_ms() / 3000));
-}
-
-void forward_session::refuse(int status, const std::string& why,
-                             std::optional<double> retry_after_s) {
-    if (finished_)
-        return;
-    if (exchange_->started()) {
-        // A second head cannot be sent: the connection is aborted so that the caller sees the
-        // error.
-        exchange_->abort();
-        finish(event_id::request_refused, "stream cut: " + why);
-        return;
-    }
-    bool retry_useful = status == 503 || status == 429;
-    auto fields = services_.dialect.refusal_fields(request_info_.request_id,
-                                                   retry_useful ? retry_after_s : std::nullopt);
-    exchange_->reply({status, fields, why + "\n"});
-    services_.measures.count("azureyoke_refusals_total", "status", std::to_string(status));
-    finish(event_id::request_refused, std::to_string(status) + ": " + why);
-}
-
-void forward_session::add_step(std::string what) {
-    auto at = services_.loop.now() - exchange_->received();
-    steps_.push_back({at.count(), std::move(what)});
-}
-
-void forward_session::finish(event_id event, const std::string& detail) {
-    if (finished_)
-        return;
-    finished_ = true;
-    add_step(detail);
-    services_.history.add({request_info_.request_id, workspace_ == nullptr ? "" : workspace_->name,
-                           route_ == nullptr ? "" : route_->name, std::move(steps_)});
-    deadline_timer_.reset();
-    answer_timer_.reset();
-    call_.reset();
-    auto* limit = workspace_ == nullptr ? nullptr : services_.state.find_limit(workspace_->name);
-    if (limit != nullptr && charged_ > 0 && sends_ == 0)
-        limit->refund(charged_);
-    std::int64_t left_out = 0;
-    auto now = services_.loop.now();
-    if (!services_.log_limiter.try_acquire(event, now, left_out))
-        return;
-    auto duration_us = (now - exchange_->received()).count();
-    services_.log.write(event, {{"request", request_info_.request_id},
-                                {"workspace", workspace_ == nullptr ? "" : workspace_->name},
-                                {"target", route_ == nullptr ? "" : route_->name},
-                                {"took_us", std::to_string(duration_us)},
-                                {"detail", detail},
-                                {"backend_server", last_server_},
-                                {"sends", std::to_string(sends_)},
-                                {"new_tokens", std::to_string(last_uncached_tokens_)},
-                                {"estimate_ms", std::to_string(std::lround(last_estimate_ms_))},
-                                {"first_answer_ms", std::to_string(std::lround(first_answer_ms_))},
-                                {"policy", std::to_string(policy_ ? policy_->version() : 0)},
-                                {"left_out", std::to_string(left_out)}});
-}
-
 } // namespace azureyoke::app
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -44,6 +44,9 @@
     void dispatch();
     bool choose_server();
     void refuse_no_server();
+    /// Asks for a permit to send to the chosen server, which limits its rate.
+    void request_permit();
+    void on_permit(const coordination::server_choice& choice, bool granted);
     void send_request();
     forward_directive make_directive() const;
     /// Address of the cache store; empty when no pool has one.
@@ -52,8 +55,6 @@
     std::string cache_source_address() const;
     /// Applies the server state that the answer's head reports, however the answer is handled.
     void update_server_state(const answer_info& report);
-    /// Applies the request rate that the server accepts; infinite when it names no limit.
-    void update_server_limit(double per_second);
     void start_answer(const transport::http_head& head);
     void record_first_answer();
     void write_to_caller(std::string_view bytes);
@@ -74,6 +75,8 @@
     void on_deadline();
     void on_caller_closed();
     void end_call(coordination::call_outcome outcome);
+    /// Callers return within a third of their remaining time, or not at all.
+    double max_return_s() const;
     /// Limits an estimated retry-after time to a third of the caller's remaining time.
     double bounded_retry_after(double seconds) const;
     /// Replies with an error of this instance, or aborts an answer that has started.
@@ -110,6 +113,7 @@
     std::int64_t last_uncached_tokens_ = 0; ///< Uncached prompt tokens of the last send.
     double last_estimate_ms_ = 0;           ///< Estimated first answer time of `last_server_`.
     double first_answer_ms_ = 0;
+    int denied_permits_ = 0;
     int sends_ = 0;
     int possible_runs_ = 0; ///< Sends that may have run.
     bool first_answer_seen_ = false;
--- a/azureyoke/src/app/peer_directory.cpp
+++ b/azureyoke/src/app/peer_directory.cpp
@@ -26,9 +26,9 @@
 
 peer_directory::peer_directory(transport::event_loop& loop, const forward_settings& settings,
                                record_store& records, const event_log& log, report_source source,
-                               report_handler on_report)
+                               report_handler on_report, message_handler on_message)
     : loop_(loop), settings_(settings), records_(records), log_(log), source_(std::move(source)),
-      on_report_(std::move(on_report)),
+      on_report_(std::move(on_report)), on_message_(std::move(on_message)),
       socket_(loop, [this](std::string_view bytes) { on_datagram(bytes); }) {
     add_seeds(settings.seeds);
 }
@@ -151,6 +151,8 @@
 
 void peer_directory::on_datagram(std::string_view bytes) {
     auto report = parse_peer_report(bytes);
+    if (!report && on_message_(bytes))
+        return;
     auto at = report ? transport::parse_address(report->peers)
                      : transport::parse_address(std::string_view());
     if (!report || !at || report->instance == settings_.instance)
@@ -199,6 +201,18 @@
     return result;
 }
 
+std::optional<transport::address> peer_directory::address_of(const std::string& instance) const {
+    auto found = peers_.find(instance);
+    return found == peers_.end() ? std::nullopt : std::optional(found->second.address);
+}
+
+std::string peer_directory::data_centre_of(const std::string& instance) const {
+    if (instance == settings_.instance)
+        return settings_.data_centre;
+    auto found = peers_.find(instance);
+    return found == peers_.end() ? std::string() : found->second.last_report.data_centre;
+}
+
 std::vector<std::string> peer_directory::live(transport::instant now) const {
     std::vector<std::string> names = {settings_.instance};
     for (const auto& [name, it] : peers_) {
--- a/azureyoke/src/app/peer_directory.h
+++ b/azureyoke/src/app/peer_directory.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "azureyoke/src/app/event_log.h"
@@ -28,6 +29,8 @@
 
     using report_source = std::function<peer_report(report_scope)>;
     using report_handler = std::function<void(const peer_report&)>;
+    /// \returns whether the datagram was valid.
+    using message_handler = std::function<bool(std::string_view)>;
 
     struct members {
         int all = 1;          ///< Instances that share limits, this one included.
@@ -38,7 +41,7 @@
 
     peer_directory(transport::event_loop& loop, const forward_settings& settings,
                    record_store& records, const event_log& log, report_source source,
-                   report_handler on_report);
+                   report_handler on_report, message_handler on_message);
 
     transport::result<transport::address> start();
     /// \brief Adds operator addresses of instances that may not have sent a report yet.
@@ -50,6 +53,16 @@
     /// \brief Erases the record of this instance; peers stop counting it.
     void leave();
 
+    /// \brief Sends a datagram that is no report. \pre `bytes.size() <= max_datagram_bytes`
+    void send(const transport::address& to, std::string_view bytes) const {
+        socket_.send(to, bytes);
+    }
+
+    /// \returns the address for reports of an instance; nothing when it is not known.
+    std::optional<transport::address> address_of(const std::string& instance) const;
+    /// \returns the data centre of this instance or a peer; empty when it is not known.
+    std::string data_centre_of(const std::string& instance) const;
+
     members count(transport::instant now) const;
     /// \returns the sorted names of the responsive instances that are not leaving, this one
     /// included.
@@ -85,6 +98,7 @@
     const event_log& log_;
     report_source source_;
     report_handler on_report_;
+    message_handler on_message_; ///< Gets the datagrams that are no reports.
     transport::datagram_socket socket_;
     std::map<std::string, peer> peers_;
     std::set<transport::address> seeds_; ///< Peers that have sent no report yet.
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -9,14 +9,10 @@
 namespace internal {
 namespace {
 
-/// Weight of the newest observation in exponential moving averages.
-constexpr double learning_rate = 0.15;
-constexpr double min_latency_ratio = 0.3;
-constexpr double max_latency_ratio = 10;
-constexpr double min_estimate_ms = 5;
 /// Error share up to which a server is not penalised.
 constexpr double tolerated_error_share = 0.25;
-constexpr int failures_to_suspend = 2;
+/// Cost of a server whose requests all fail, as a multiple.
+constexpr double max_error_factor = 10;
 
 std::uint64_t hash_of(std::string_view text, std::uint64_t seed) {
     return XXH64(text.data(), text.size(), seed);
@@ -86,7 +82,7 @@
         if (std::find(query.excluded.begin(), query.excluded.end(), it->id) != query.excluded.end())
             continue;
         const auto& view = views_[it->id];
-        if (now < view.backoff_until)
+        if (now < view.backoff_until || now < view.limited_until)
             continue;
         int connections = view.own.in_flight + view.peers.in_flight;
         if (query.max_connections > 0 && connections >= query.max_connections)
@@ -127,13 +123,13 @@
         option.uncached_tokens + view.own.unprocessed_tokens + view.peers.unprocessed_tokens;
     double ms = static_cast<double>(pending_tokens) / settings_.tokens_per_ms +
                 running * settings_.running_request_ms + waiting * settings_.queued_request_ms;
-    option.estimate_ms = std::max(ms, internal::min_estimate_ms) * view.latency_ratio;
+    option.estimate_ms = std::max(ms, min_estimate_ms) * view.latency_ratio;
     option.cost = option.estimate_ms;
     option.cost += recompute_cost(shared);
     if (option.server->data_centre != settings_.data_centre)
         option.cost += settings_.remote_penalty_ms;
     double errors = std::max(0.0, view.error_share - internal::tolerated_error_share);
-    option.cost *= 1 + errors * internal::max_latency_ratio;
+    option.cost *= 1 + errors * internal::max_error_factor;
     if (option.weights < query.newest_weights)
         option.cost += settings_.old_weights_penalty_ms;
 }
@@ -269,118 +265,4 @@
         entries.clear();
 }
 
-void fleet_router::on_first_answer(const server_choice& choice, duration took, instant /*now*/) {
-    auto& view = views_[choice.server];
-    view.own.unprocessed_tokens =
-        std::max<std::int64_t>(0, view.own.unprocessed_tokens - choice.uncached_tokens);
-    has_unreported_work_ = true;
-    double expected =
-        std::max(choice.estimated_first_answer_ms / view.latency_ratio, internal::min_estimate_ms);
-    double ratio = to_seconds(took) * 1000 / expected;
-    ratio = std::clamp(ratio, internal::min_latency_ratio, internal::max_latency_ratio);
-    view.latency_ratio += internal::learning_rate * (ratio - view.latency_ratio);
-}
-
-void fleet_router::on_load_report(const std::string& server, int running, int waiting,
-                                  instant now) {
-    auto& view = views_[server];
-    view.running = running;
-    view.waiting = waiting;
-    view.reported_at = now;
-}
-
-void fleet_router::on_call_outcome(const server_choice& choice, call_outcome outcome, instant now) {
-    auto& view = views_[choice.server];
-    view.own.in_flight = std::max(0, view.own.in_flight - 1);
-    if (view.own.in_flight == 0)
-        view.own.unprocessed_tokens = 0;
-    bool failed = outcome == call_outcome::error || outcome == call_outcome::incomplete;
-    if (outcome == call_outcome::answered || failed)
-        view.error_share += internal::learning_rate * ((failed ? 1 : 0) - view.error_share);
-    switch (outcome) {
-    case call_outcome::answered:
-    case call_outcome::error:
-        view.failures = 0;
-        view.suspension = {};
-        break;
-    case call_outcome::shed:
-        view.suspended_until = std::max(view.suspended_until, now + settings_.shed_suspension);
-        break;
-    case call_outcome::unreachable:
-    case call_outcome::incomplete:
-        ++view.failures;
-        if (outcome == call_outcome::unreachable ||
-            view.failures >= internal::failures_to_suspend) {
-            view.suspension = std::clamp(view.suspension * 2, settings_.first_suspension,
-                                         settings_.longest_suspension);
-            view.suspended_until = now + view.suspension;
-        }
-        break;
-    case call_outcome::cancelled:
-        break;
-    }
-}
-
-void fleet_router::on_backoff(const std::string& server, double seconds, instant now) {
-    auto wait = from_seconds(std::min(seconds, to_seconds(settings_.longest_backoff)));
-    auto& view = views_[server];
-    view.backoff_until = std::max(view.backoff_until, now + wait);
-}
-
-std::optional<duration> fleet_router::backoff_remaining(const fleet_directory& directory,
-                                                        const std::string& pool,
-                                                        instant now) const {
-    std::optional<duration> least;
-    for (const auto* it : directory.usable(pool)) {
-        auto view = views_.find(it->id);
-        if (view == views_.end() || view->second.backoff_until <= now)
-            continue;
-        auto left = view->second.backoff_until - now;
-        least = least ? std::min(*least, left) : left;
-    }
-    return least;
-}
-
-void fleet_router::on_weights_change_announced(const std::string& server, const std::string& model,
-                                               std::int64_t version, instant now) {
-    views_[server].change = {model, version, now + settings_.weights_change_timeout};
-}
-
-void fleet_router::on_weights_change_ended(const std::string& server) {
-    views_[server].change = {};
-}
-
-bool fleet_router::changing_weights(const fleet_directory& directory, const std::string& server,
-                                    instant now) const {
-    auto found = views_.find(server);
-    if (found == views_.end())
-        return false;
-    const auto& change = found->second.change;
-    return now < change.until && weights_of(directory, server, change.model) < change.version;
-}
-
-void fleet_router::on_weights(const std::string& server, const std::string& model,
-                              std::int64_t version) {
-    auto& view = views_[server];
-    auto& known_version = view.weights[model];
-    if (version <= known_version)
-        return;
-    known_version = version;
-}
-
-void fleet_router::reset_server(const std::string& server) {
-    auto found = views_.find(server);
-    if (found == views_.end())
-        return;
-    server_view reset;
-    reset.own = found->second.own; // open calls end later and are subtracted then
-    reset.peers = found->second.peers;
-    found->second = reset;
-}
-
-int fleet_router::in_flight(const std::string& server) const {
-    auto found = views_.find(server);
-    return found == views_.end() ? 0 : found->second.own.in_flight;
-}
-
 } // namespace azureyoke::coordination
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -111,7 +111,8 @@
 /// server that sheds load is suspended for a short fixed time; a slow server costs more by its
 /// learned latency ratio. When all servers are suspended, the server whose suspension ends first is
 /// used. A server in backoff (after Retry-After) gets no request until the backoff ends, even when
-/// no other server is left. Pure. Not thread safe.
+/// no other server is left; the same holds for a server whose request rate is used up. Pure. Not
+/// thread safe.
 class fleet_router {
 public:
     explicit fleet_router(const fleet_router_settings& settings);
@@ -132,6 +133,14 @@
     /// backoff.
     std::optional<duration> backoff_remaining(const fleet_directory& directory,
                                               const std::string& pool, instant now) const;
+    /// \brief The server's request rate is used up: it gets no request of this instance until then.
+    void on_limit_reached(const std::string& server, instant until);
+    /// \brief The server may get requests again, because its limit rose or ended.
+    void on_limit_lifted(const std::string& server);
+    /// \returns the time until the first server of the pool that is at its limit may get a request;
+    /// nothing when no server is at its limit.
+    std::optional<duration> limit_remaining(const fleet_directory& directory,
+                                            const std::string& pool, instant now) const;
     /// \brief The server was ordered to load these weights and refuses new work until they are
     /// loaded.
     void on_weights_change_announced(const std::string& server, const std::string& model,
@@ -169,6 +178,8 @@
     int in_flight(const std::string& server) const;
 
 private:
+    static constexpr double min_estimate_ms = 5;
+
     /// An announced change of weights: the server accepts no work for `model` until it has
     /// `version`.
     struct weights_change {
@@ -188,6 +199,7 @@
         duration suspension{};
         weights_change change;    ///< The last announced change.
         instant backoff_until;    ///< Respected even if all other servers fail.
+        instant limited_until;    ///< As `backoff_until`, for the server's request rate.
         double latency_ratio = 1; ///< Learned ratio of actual to estimated time to first token.
         double error_share = 0;
         std::map<std::string, std::int64_t> weights;
@@ -212,6 +224,10 @@
 
     std::vector<candidate> candidates(const fleet_directory& directory,
                                       const placement_query& query, instant now);
+    /// \returns the time until the first of these ends in the pool; nothing when none is running.
+    std::optional<duration> least_remaining(const fleet_directory& directory,
+                                            const std::string& pool, instant server_view::*until,
+                                            instant now) const;
     /// \returns the penalty in milliseconds for recomputing `shared_tokens`.
     double recompute_cost(std::int64_t shared_tokens) const;
     void estimate_cost(candidate& option, const placement_query& query,
--- /dev/null
+++ b/azureyoke/src/coordination/fleet_router_feedback.cpp
@@ -0,0 +1,155 @@
+// What fleet_router learns from answers, failures and announcements; its choice of a server is in
+// fleet_router.cpp.
+#include "azureyoke/src/coordination/fleet_router.h"
+
+#include <algorithm>
+
+namespace azureyoke::coordination {
+
+namespace internal {
+namespace {
+
+/// Weight of the newest observation in exponential moving averages.
+constexpr double learning_rate = 0.15;
+constexpr double min_latency_ratio = 0.3;
+constexpr double max_latency_ratio = 10;
+constexpr int failures_to_suspend = 2;
+
+} // namespace
+} // namespace internal
+
+void fleet_router::on_first_answer(const server_choice& choice, duration took, instant /*now*/) {
+    auto& view = views_[choice.server];
+    view.own.unprocessed_tokens =
+        std::max<std::int64_t>(0, view.own.unprocessed_tokens - choice.uncached_tokens);
+    has_unreported_work_ = true;
+    double expected =
+        std::max(choice.estimated_first_answer_ms / view.latency_ratio, min_estimate_ms);
+    double ratio = to_seconds(took) * 1000 / expected;
+    ratio = std::clamp(ratio, internal::min_latency_ratio, internal::max_latency_ratio);
+    view.latency_ratio += internal::learning_rate * (ratio - view.latency_ratio);
+}
+
+void fleet_router::on_load_report(const std::string& server, int running, int waiting,
+                                  instant now) {
+    auto& view = views_[server];
+    view.running = running;
+    view.waiting = waiting;
+    view.reported_at = now;
+}
+
+void fleet_router::on_call_outcome(const server_choice& choice, call_outcome outcome, instant now) {
+    auto& view = views_[choice.server];
+    view.own.in_flight = std::max(0, view.own.in_flight - 1);
+    if (view.own.in_flight == 0)
+        view.own.unprocessed_tokens = 0;
+    bool failed = outcome == call_outcome::error || outcome == call_outcome::incomplete;
+    if (outcome == call_outcome::answered || failed)
+        view.error_share += internal::learning_rate * ((failed ? 1 : 0) - view.error_share);
+    switch (outcome) {
+    case call_outcome::answered:
+    case call_outcome::error:
+        view.failures = 0;
+        view.suspension = {};
+        break;
+    case call_outcome::shed:
+        view.suspended_until = std::max(view.suspended_until, now + settings_.shed_suspension);
+        break;
+    case call_outcome::unreachable:
+    case call_outcome::incomplete:
+        ++view.failures;
+        if (outcome == call_outcome::unreachable ||
+            view.failures >= internal::failures_to_suspend) {
+            view.suspension = std::clamp(view.suspension * 2, settings_.first_suspension,
+                                         settings_.longest_suspension);
+            view.suspended_until = now + view.suspension;
+        }
+        break;
+    case call_outcome::cancelled:
+        break;
+    }
+}
+
+void fleet_router::on_backoff(const std::string& server, double seconds, instant now) {
+    auto wait = from_seconds(std::min(seconds, to_seconds(settings_.longest_backoff)));
+    auto& view = views_[server];
+    view.backoff_until = std::max(view.backoff_until, now + wait);
+}
+
+std::optional<duration> fleet_router::backoff_remaining(const fleet_directory& directory,
+                                                        const std::string& pool,
+                                                        instant now) const {
+    return least_remaining(directory, pool, &server_view::backoff_until, now);
+}
+
+void fleet_router::on_limit_reached(const std::string& server, instant until) {
+    views_[server].limited_until = until;
+}
+
+void fleet_router::on_limit_lifted(const std::string& server) {
+    views_[server].limited_until = {};
+}
+
+std::optional<duration> fleet_router::limit_remaining(const fleet_directory& directory,
+                                                      const std::string& pool, instant now) const {
+    return least_remaining(directory, pool, &server_view::limited_until, now);
+}
+
+std::optional<duration> fleet_router::least_remaining(const fleet_directory& directory,
+                                                      const std::string& pool,
+                                                      instant server_view::*until,
+                                                      instant now) const {
+    std::optional<duration> least;
+    for (const auto* it : directory.usable(pool)) {
+        auto view = views_.find(it->id);
+        if (view == views_.end() || view->second.*until <= now)
+            continue;
+        auto left = view->second.*until - now;
+        least = least ? std::min(*least, left) : left;
+    }
+    return least;
+}
+
+void fleet_router::on_weights_change_announced(const std::string& server, const std::string& model,
+                                               std::int64_t version, instant now) {
+    views_[server].change = {model, version, now + settings_.weights_change_timeout};
+}
+
+void fleet_router::on_weights_change_ended(const std::string& server) {
+    views_[server].change = {};
+}
+
+bool fleet_router::changing_weights(const fleet_directory& directory, const std::string& server,
+                                    instant now) const {
+    auto found = views_.find(server);
+    if (found == views_.end())
+        return false;
+    const auto& change = found->second.change;
+    return now < change.until && weights_of(directory, server, change.model) < change.version;
+}
+
+void fleet_router::on_weights(const std::string& server, const std::string& model,
+                              std::int64_t version) {
+    auto& view = views_[server];
+    auto& known_version = view.weights[model];
+    if (version <= known_version)
+        return;
+    known_version = version;
+}
+
+void fleet_router::reset_server(const std::string& server) {
+    auto found = views_.find(server);
+    if (found == views_.end())
+        return;
+    server_view reset;
+    reset.own = found->second.own; // open calls end later and are subtracted then
+    reset.peers = found->second.peers;
+    found->second = reset;
+}
+
+int fleet_router::in_flight(const std::string& server) const {
+    auto found = views_.find(server);
+    return found == views_.end() ? 0 : found->second.own.in_flight;
+}
+
+} // namespace azureyoke::coordination
--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -283,6 +283,19 @@
     cr_assert(it.router.choose(it.directory, query, start + std::chrono::hours(1)));
 }
 
+Test(fleet_router, server_at_its_limit_gets_no_request_until_then_or_until_the_limit_is_lifted) {
+    router_fixture it(1);
+    auto query = router_fixture::prompt("t");
+    it.router.on_limit_reached("s0", start + 900 * ms);
+    cr_assert_not(it.router.choose(it.directory, query, start + 899 * ms));
+    cr_assert(*it.router.limit_remaining(it.directory, "p", start + 400 * ms) == 500 * ms);
+    cr_assert_not(it.router.backoff_remaining(it.directory, "p", start));
+    cr_assert(it.router.choose(it.directory, query, start + 900 * ms));
+    it.router.on_limit_reached("s0", start + 900 * ms);
+    it.router.on_limit_lifted("s0");
+    cr_assert(it.router.choose(it.directory, query, start));
+}
+
 Test(fleet_router, server_that_registered_with_its_new_weights_gets_work_again) {
     router_fixture it;
     auto query = router_fixture::prompt("t");
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -8,6 +8,7 @@
 
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/transport/backend_fetch.h"
+#include "test/scripted_permits.h"
 
 namespace azureyoke {
 
@@ -46,6 +47,8 @@
         result.leaving = transport::find_field(head.fields, "leaves").has_value();
         if (auto backoff = transport::find_field(head.fields, "rest"))
             result.backoff_s = std::stod(*backoff);
+        if (auto rate = transport::find_field(head.fields, "rate"))
+            result.request_rate = std::stod(*rate);
         return result;
     }
 
@@ -151,6 +154,7 @@
     app::request_history history{100};
     transport::backend_pool backends{loop, {}};
     transport::backend_pool callers{loop, {}};
+    scripted_permits permits{loop};
     std::unique_ptr<app::forward_state> state;
     std::unique_ptr<app::forward_services> services;
     std::unique_ptr<transport::front_server> front;
@@ -160,8 +164,10 @@
         settings.instance = "test";
         settings.data_centre = "dc";
         state = std::make_unique<app::forward_state>(settings);
-        services = std::make_unique<app::forward_services>(app::forward_services{
-            settings, loop, backends, dialect, *state, log, log_limiter, measures, history, false});
+        services = std::make_unique<app::forward_services>(
+            app::forward_services{settings, loop, backends, dialect, *state, log, log_limiter,
+                                  measures, history, permits, false});
+        permits.router = &state->router;
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
                 std::make_shared<app::forward_session>(*services, exchange)->start();
--- a/test/peer_directory_test.cpp
+++ b/test/peer_directory_test.cpp
@@ -41,6 +41,7 @@
     app::forward_settings settings;
     app::event_log log{"test"};
     std::vector<app::peer_report> received;
+    std::vector<std::string> messages;
     app::peer_directory directory;
 
     directory_fixture(transport::event_loop& on, int number, std::uint16_t port,
@@ -48,7 +49,11 @@
         : loop(on), settings(settings_of(number, port, data_centre)),
           directory(
               loop, settings, store, log, [this](auto) { return report(); },
-              [this](const auto& it) { received.push_back(it); }) {
+              [this](const auto& it) { received.push_back(it); },
+              [this](std::string_view bytes) {
+                  messages.emplace_back(bytes);
+                  return true;
+              }) {
         cr_assert(directory.start().has_value());
     }
 
