A request that was denied three permits goes to a server without a limit

Cause: on rereading, a request that met three servers at their limits was refused although servers without a limit were left, since servers in need look idle and are tried first. Change: after three denials only servers without a limit are considered; the router knows which have one.

--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -22,7 +22,7 @@
 constexpr double min_send_time_ms = 15;
 /// Sends that did not run are allowed in addition to the attempts that a route permits.
 constexpr int max_unrun_sends = 2;
-/// After so many denied permits a request is refused.
+/// After so many denied permits a request goes to a server without a limit or is refused.
 constexpr int max_denied_permits = 3;
 /// Answers up to this size are buffered, so that the request can be retried if the connection
 /// is lost before the end.
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -165,10 +165,8 @@
         send_request();
         return;
     }
-    if (++denied_permits_ < max_denied_permits)
-        dispatch();
-    else
-        refuse_no_server();
+    query_.unlimited_only = ++denied_permits_ >= max_denied_permits;
+    dispatch();
 }
 
 forward_directive forward_session::make_directive() const {
--- a/azureyoke/src/app/permit_service.cpp
+++ b/azureyoke/src/app/permit_service.cpp
@@ -131,12 +131,14 @@
 void permit_service::on_statement(const std::string& server, std::optional<double> before,
                                   server_limits::change change, const std::string& said_by) {
     auto limit = state_.server_limits.limit_of(server);
-    if (!limit)
-        state_.router.on_limit_lifted(server);
     if (before && (!limit || *limit >= *before * internal::notable_rise))
         invite_waiting(server);
     if (change == server_limits::change::none)
         return;
+    if (limit)
+        state_.router.on_limit_named(server);
+    else
+        state_.router.on_limit_ended(server);
     log_.write(limit ? event_id::replica_limits_rate : event_id::replica_limit_ended,
                {{"backend_server", server},
                 {"per_second", limit ? std::to_string(*limit) : "any"},
@@ -146,7 +148,7 @@
 void permit_service::invite_waiting(const std::string& server) {
     for (const auto& instance : issuer_.take_waiting(server, loop_.now())) {
         if (instance == settings_.instance)
-            state_.router.on_limit_lifted(server);
+            state_.router.on_limit_raised(server);
         else if (auto to = peers_.address_of(instance))
             peers_.send(*to, to_bytes(permit_reply{0, false, 0, report_of(server)}));
     }
@@ -198,7 +200,7 @@
     if (!reply.limit.server.empty())
         merge(reply.limit);
     if (reply.number == 0) {
-        state_.router.on_limit_lifted(reply.limit.server);
+        state_.router.on_limit_raised(reply.limit.server);
         return;
     }
     measures_.count("azureyoke_permits_total", "result", reply.granted ? "granted" : "denied");
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -82,7 +82,8 @@
         if (std::find(query.excluded.begin(), query.excluded.end(), it->id) != query.excluded.end())
             continue;
         const auto& view = views_[it->id];
-        if (now < view.backoff_until || now < view.limited_until)
+        if (now < view.backoff_until || now < view.limited_until ||
+            (query.unlimited_only && view.limits_rate))
             continue;
         int connections = view.own.in_flight + view.peers.in_flight;
         if (query.max_connections > 0 && connections >= query.max_connections)
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -57,6 +57,7 @@
     std::vector<std::string> excluded;     ///< Servers that already failed this request.
     std::int64_t newest_weights = 0;       ///< Preferred version; 0: no preference.
     std::int64_t oldest_weights = 0;       ///< Servers with older weights may not serve it.
+    bool unlimited_only = false;           ///< Leaves out servers that limit their rate.
     int max_connections = 0;               ///< Per server, over all instances; 0: no limit.
     std::int64_t number = 0;               ///< Spreads requests without parts.
 
@@ -133,10 +134,14 @@
     /// backoff.
     std::optional<duration> backoff_remaining(const fleet_directory& directory,
                                               const std::string& pool, instant now) const;
+    /// \brief The server named a limit on its request rate.
+    void on_limit_named(const std::string& server);
     /// \brief The server's request rate is used up: it gets no request of this instance until then.
     void on_limit_reached(const std::string& server, instant until);
-    /// \brief The server may get requests again, because its limit rose or ended.
-    void on_limit_lifted(const std::string& server);
+    /// \brief The server may get requests again, because its limit rose.
+    void on_limit_raised(const std::string& server);
+    /// \brief The server has no limit any more.
+    void on_limit_ended(const std::string& server);
     /// \returns the time until the first server of the pool that is at its limit may get a request;
     /// nothing when no server is at its limit.
     std::optional<duration> limit_remaining(const fleet_directory& directory,
@@ -197,8 +202,9 @@
         int failures = 0; ///< Consecutive.
         instant suspended_until;
         duration suspension{};
-        weights_change change;    ///< The last announced change.
-        instant backoff_until;    ///< Respected even if all other servers fail.
+        weights_change change; ///< The last announced change.
+        instant backoff_until; ///< Respected even if all other servers fail.
+        bool limits_rate = false;
         instant limited_until;    ///< As `backoff_until`, for the server's request rate.
         double latency_ratio = 1; ///< Learned ratio of actual to estimated time to first token.
         double error_share = 0;
--- a/azureyoke/src/coordination/fleet_router_feedback.cpp
+++ b/azureyoke/src/coordination/fleet_router_feedback.cpp
@@ -86,10 +86,20 @@
     views_[server].limited_until = until;
 }
 
-void fleet_router::on_limit_lifted(const std::string& server) {
+void fleet_router::on_limit_raised(const std::string& server) {
     views_[server].limited_until = {};
 }
 
+void fleet_router::on_limit_named(const std::string& server) {
+    views_[server].limits_rate = true;
+}
+
+void fleet_router::on_limit_ended(const std::string& server) {
+    auto& view = views_[server];
+    view.limits_rate = false;
+    view.limited_until = {};
+}
+
 std::optional<duration> fleet_router::limit_remaining(const fleet_directory& directory,
                                                       const std::string& pool, instant now) const {
     return least_remaining(directory, pool, &server_view::limited_until, now);
@@ -144,6 +154,7 @@
     server_view reset;
     reset.own = found->second.own; // open calls end later and are subtracted then
     reset.peers = found->second.peers;
+    reset.limits_rate = found->second.limits_rate; // until an answer of its new run tells
     found->second = reset;
 }
 
--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -283,7 +283,7 @@
     cr_assert(it.router.choose(it.directory, query, start + std::chrono::hours(1)));
 }
 
-Test(fleet_router, server_at_its_limit_gets_no_request_until_then_or_until_the_limit_is_lifted) {
+Test(fleet_router, server_at_its_limit_gets_no_request_until_then_or_until_the_limit_is_raised) {
     router_fixture it(1);
     auto query = router_fixture::prompt("t");
     it.router.on_limit_reached("s0", start + 900 * ms);
@@ -292,7 +292,20 @@
     cr_assert_not(it.router.backoff_remaining(it.directory, "p", start));
     cr_assert(it.router.choose(it.directory, query, start + 900 * ms));
     it.router.on_limit_reached("s0", start + 900 * ms);
-    it.router.on_limit_lifted("s0");
+    it.router.on_limit_raised("s0");
+    cr_assert(it.router.choose(it.directory, query, start));
+}
+
+Test(fleet_router, request_for_servers_without_a_limit_leaves_out_those_that_named_one) {
+    router_fixture it(2);
+    auto query = router_fixture::prompt("t");
+    query.unlimited_only = true;
+    it.router.on_limit_named("s0");
+    cr_assert_eq(it.router.choose(it.directory, query, start)->server, "s1");
+    it.router.on_limit_named("s1");
+    it.router.reset_server("s1");
+    cr_assert_not(it.router.choose(it.directory, query, start));
+    it.router.on_limit_ended("s1");
     cr_assert(it.router.choose(it.directory, query, start));
 }
 
--- a/test/forward_permit_test.cpp
+++ b/test/forward_permit_test.cpp
@@ -45,6 +45,17 @@
     cr_assert_eq(other.requests.size(), 1U);
 }
 
+Test(forward_permit, request_denied_again_and_again_goes_to_a_server_without_a_limit) {
+    permit_fixture it;
+    it.permits.limited = {&it.first_choice_of("q1") == &it.first ? "a" : "b"};
+    it.permits.wait = transport::duration(0);
+    auto& other = it.other_of("q1");
+    it.script({good});
+    cr_assert_eq(it.fetch_answer().status, 200);
+    cr_assert_eq(it.permits.asked.size(), 3U);
+    cr_assert_eq(other.requests.size(), 1U);
+}
+
 Test(forward_permit, request_denied_everywhere_is_refused_at_once_with_the_time_to_return) {
     permit_fixture it;
     auto before = it.loop.now();
--- a/test/scripted_permits.h
+++ b/test/scripted_permits.h
@@ -25,6 +25,7 @@
 
     void acquire(const std::string& server, handler done) override {
         asked.push_back(server);
+        router->on_limit_named(server);
         if (holds_requests) {
             held.push_back(std::move(done));
             return;
