An instance that starts is told the limits of servers by their issuers

An instance learned of a limit from its first answer only. Change: the issuer of a limited server tells a peer that reports for the first time or with a new incarnation; 32 limits at most.

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -246,6 +246,7 @@
             log_.write(event_id::replica_leaves,
                        {{"backend_server", it.server}, {"said_by", report.instance}});
     }
+    permits_.on_peer(report.instance, report.incarnation);
     if (report.work)
         state_.router.on_peer_work(report.instance, *report.work, now);
     for (const auto& it : report.placed)
--- a/azureyoke/src/app/permit_service.cpp
+++ b/azureyoke/src/app/permit_service.cpp
@@ -17,6 +17,8 @@
 constexpr transport::duration unanswered_wait = std::chrono::milliseconds(300);
 /// A limit that rises by this factor or more is told to the instances that wait for a permit.
 constexpr double notable_rise = 1.5;
+/// Most limits that a peer is told when it starts; it learns the others from answers.
+constexpr std::size_t max_told_limits = 32;
 
 std::int64_t to_us(transport::duration time) {
     return time / std::chrono::microseconds(1);
@@ -128,6 +130,21 @@
         send_request(server, issuer, 0);
 }
 
+void permit_service::on_peer(const std::string& instance, std::uint64_t incarnation) {
+    auto [found, is_new] = incarnations_.try_emplace(instance);
+    if (!is_new && found->second >= incarnation)
+        return;
+    found->second = incarnation;
+    std::size_t told = 0;
+    for (const auto& [server, statement] : state_.server_limits.statements()) {
+        if (!statement.limits() || issuer_of(server) != settings_.instance)
+            continue;
+        send_request(server, instance, 0);
+        if (++told == internal::max_told_limits)
+            return;
+    }
+}
+
 void permit_service::on_statement(const std::string& server, std::optional<double> before,
                                   server_limits::change change, const std::string& said_by) {
     auto limit = state_.server_limits.limit_of(server);
--- a/azureyoke/src/app/permit_service.h
+++ b/azureyoke/src/app/permit_service.h
@@ -36,6 +36,9 @@
 
     void on_answer(const std::string& server, std::int64_t started_ms, double per_second,
                    transport::instant sent_at) override;
+    /// \brief A peer reported. When it has just started, it is told the limits of the servers whose
+    /// permits this instance issues, before it sends them requests.
+    void on_peer(const std::string& instance, std::uint64_t incarnation);
     /// \brief Handles a datagram of a peer. \returns whether it was one of this service.
     bool on_datagram(std::string_view bytes);
     /// \brief Forgets what is too old.
@@ -76,7 +79,8 @@
     std::vector<std::string> live_; ///< The instances among which `issuers_` were chosen.
     transport::instant live_read_at_;
     std::map<std::string, std::vector<std::string>> live_by_data_centre_;
-    std::map<std::string, std::string> issuers_; ///< By server.
+    std::map<std::string, std::string> issuers_;        ///< By server.
+    std::map<std::string, std::uint64_t> incarnations_; ///< Of the peers that were told the limits.
     std::map<std::uint64_t, pending_request> pending_;
     std::uint64_t next_number_ = 1;
     std::map<std::string, coordination::paced_returns> returns_; ///< By pool.
--- a/test/permit_service_test.cpp
+++ b/test/permit_service_test.cpp
@@ -194,6 +194,16 @@
     it.wait_until([&] { return it.first.acquire(server); });
 }
 
+Test(permit_service, instance_that_starts_is_told_the_limits_before_its_first_request) {
+    permit_service_fixture it;
+    auto server = it.server_of("i-1");
+    it.first.answer(server, 5);
+    it.first.permits.on_peer("i-2", 1);
+    it.wait_until([&] { return it.second->permits.required(server); });
+    it.second->answer(server, unlimited);
+    it.wait_until([&] { return !it.first.permits.required(server); });
+}
+
 Test(permit_service, datagram_that_is_no_permit_message_is_left_to_others) {
     permit_service_fixture it;
     cr_assert_not(it.first.permits.on_datagram("nothing"));
