--- a/azureyoke/src/coordination/server_limits.h
+++ b/azureyoke/src/coordination/server_limits.h
@@ -52,6 +52,7 @@
     const rate_statement* find(const std::string& server) const;
     /// \returns the rate that the server allows; nothing when it names no limit.
     std::optional<double> limit_of(const std::string& server) const;
+
     /// \returns the newest statements, by server.
     const std::map<std::string, rate_statement>& statements() const { return statements_; }
 
--- a/test/permit_world.h
+++ b/test/permit_world.h
@@ -47,6 +47,8 @@
     rate_function rate = [](duration) { return 1.8; };
 };
 
+/// \brief Instances in virtual time that send the requests of unevenly spread callers to servers
+/// with limits, and ask each other for permits. Counts what each server gets.
 class permit_world {
 public:
     explicit permit_world(world_options options)
@@ -63,6 +65,7 @@
         arrivals_.resize(static_cast<std::size_t>(options_.servers));
     }
 
+    /// \brief Lets `length` of the simulated time pass.
     void run(duration length) {
         std::discrete_distribution<std::size_t> pick(weights_.begin(), weights_.end());
         std::poisson_distribution<int> requests(options_.demand * coordination::to_seconds(step));
@@ -77,6 +80,7 @@
         }
     }
 
+    /// \brief Restarts an instance: it is down for a second and knows nothing after that.
     void restart(std::size_t i) {
         auto name = instances_[i].name;
         instances_[i] = {};
@@ -86,6 +90,7 @@
         update_view(i);
     }
 
+    /// \brief Stops an instance for `time`; it keeps what it knows.
     void freeze(std::size_t i, duration time) {
         instances_[i].frozen_until = std::max(instances_[i].frozen_until, now_ + time);
     }
