A limit that nobody repeated for ten minutes ends for the router too

Cause: on rereading, server_limits dropped such a statement, and the router kept leaving the server out for requests that were denied three permits. Change: drop_old lists the servers, the service ends their limits and logs it (said_by silence).

--- a/azureyoke/src/app/permit_service.cpp
+++ b/azureyoke/src/app/permit_service.cpp
@@ -36,7 +36,11 @@
 void permit_service::tick() {
     auto now = loop_.now();
     issuer_.drop_unused(now);
-    state_.server_limits.drop_old(now);
+    for (const auto& server : state_.server_limits.drop_old(now)) {
+        state_.router.on_limit_ended(server);
+        log_.write(event_id::replica_limit_ended,
+                   {{"backend_server", server}, {"per_second", "any"}, {"said_by", "silence"}});
+    }
 }
 
 void permit_service::update_live() {
--- a/azureyoke/src/coordination/server_limits.cpp
+++ b/azureyoke/src/coordination/server_limits.cpp
@@ -55,9 +55,18 @@
     return known == nullptr || !known->limits() ? std::nullopt : std::optional(known->per_second);
 }
 
-void server_limits::drop_old(instant now) {
-    std::erase_if(statements_,
-                  [&](const auto& it) { return now - it.second.made_at > settings_.retention; });
+std::vector<std::string> server_limits::drop_old(instant now) {
+    std::vector<std::string> limited;
+    for (auto it = statements_.begin(); it != statements_.end();) {
+        if (now - it->second.made_at <= settings_.retention) {
+            ++it;
+            continue;
+        }
+        if (it->second.limits())
+            limited.push_back(it->first);
+        it = statements_.erase(it);
+    }
+    return limited;
 }
 
 } // namespace azureyoke::coordination
--- a/azureyoke/src/coordination/server_limits.h
+++ b/azureyoke/src/coordination/server_limits.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "azureyoke/src/coordination/time.h"
 
@@ -56,7 +57,9 @@
     /// \returns the newest statements, by server.
     const std::map<std::string, rate_statement>& statements() const { return statements_; }
 
-    void drop_old(instant now);
+    /// \brief Drops the statements that were not repeated for long. \returns the servers of those
+    /// that named a limit.
+    std::vector<std::string> drop_old(instant now);
 
 private:
     change replace(const std::string& server, const rate_statement& next);
--- a/test/server_limits_test.cpp
+++ b/test/server_limits_test.cpp
@@ -84,11 +84,15 @@
     cr_assert(it.limits.find("t") == nullptr);
 }
 
-Test(server_limits, statement_that_is_not_repeated_is_dropped) {
+Test(server_limits, statement_that_is_not_repeated_is_dropped_and_its_server_listed) {
     limits_fixture it;
     (void)it.answer(1.8, 0 * ms, 10 * ms);
-    it.limits.drop_old(start + std::chrono::minutes(9));
+    (void)it.limits.on_answer("t", run, 1.8, start, start + 10 * ms);
+    (void)it.limits.on_answer("t", run, unlimited, start + 20 * ms, start + 30 * ms);
+    cr_assert(it.limits.drop_old(start + std::chrono::minutes(9)).empty());
     cr_assert(it.limits.find("s") != nullptr);
-    it.limits.drop_old(start + std::chrono::minutes(11));
-    cr_assert(it.limits.find("s") == nullptr);
+    auto dropped = it.limits.drop_old(start + std::chrono::minutes(11));
+    cr_assert_eq(dropped.size(), 1U, "the limit of \"t\" had ended before");
+    cr_assert_eq(dropped.front(), "s");
+    cr_assert(it.limits.find("s") == nullptr && it.limits.find("t") == nullptr);
 }
