Model test of permits: a range-based loop, as the linter asks

Cause: modernize-loop-convert fails the lint step of scripts/test. Change: the same values are drawn in the same order.

--- a/test/permit_model_test.cpp
+++ b/test/permit_model_test.cpp
@@ -132,8 +132,8 @@
                 break;
             case 2: {
                 std::vector<bool> side(8);
-                for (std::size_t member = 0; member < side.size(); ++member)
-                    side[member] = world.random_number(2) == 0;
+                for (auto&& member : side)
+                    member = world.random_number(2) == 0;
                 world.partition(side, time);
                 break;
             }
