--- a/azureyoke/src/app/permit_service.cpp
+++ b/azureyoke/src/app/permit_service.cpp
@@ -12,6 +12,7 @@
 
 /// A reply takes a round trip between data centres; an issuer that takes longer is not used.
 constexpr transport::duration reply_timeout = std::chrono::milliseconds(200);
+/// Time for which the list of live instances is reused.
 constexpr transport::duration live_period = std::chrono::milliseconds(100);
 /// Time without requests for permits to an issuer that did not reply.
 constexpr transport::duration unanswered_wait = std::chrono::milliseconds(300);
