Log the prompt parts of failed attempts, and whether the answer had begun

Cause: the logs of the BUDGET incident could not tell whether a request is repeated, or many requests have something in common. Change: fields began and parts of attempt_failed, counter azureyoke_failed_attempts_total by result. No change of behaviour.

--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -263,6 +263,10 @@
 void forward_session::on_failure(const transport::error& ec) {
     if (finished_)
         return;
+    const char* result = !ec.may_have_sent_bytes ? "unreachable"
+                         : first_answer_seen_    ? "broken off"
+                                                 : "lost";
+    services_.measures.count("azureyoke_failed_attempts_total", "result", result);
     end_call(ec.may_have_sent_bytes ? call_outcome::incomplete : call_outcome::unreachable);
     if (ec.may_have_sent_bytes)
         may_have_run_ = true;
@@ -283,6 +287,13 @@
            state.retry_budget(pool_).try_acquire(state.instances, services_.loop.now());
 }
 
+std::string forward_session::shared_parts_text() const {
+    std::string text;
+    for (std::size_t i = 0; i + 1 < query_.parts.size(); ++i)
+        text += (i > 0 ? "," : "") + query_.parts[i].id;
+    return text;
+}
+
 void forward_session::retry_or_refuse(const std::string& why) {
     add_step(last_server_ + ": " + why);
     std::int64_t left_out = 0;
@@ -290,6 +301,8 @@
         services_.log.warn(event_id::attempt_failed, {{"request", request_info_.request_id},
                                                       {"backend_server", last_server_},
                                                       {"why", why},
+                                                      {"began", first_answer_seen_ ? "yes" : "no"},
+                                                      {"parts", shared_parts_text()},
                                                       {"left_out", std::to_string(left_out)}});
     if (try_acquire_retry()) {
         dispatch();
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -68,6 +68,8 @@
     void reply_buffered();
     void on_not_run();
     void retry_or_refuse(const std::string& why);
+    /// The ids of the prompt's parts but the last, separated by commas.
+    std::string shared_parts_text() const;
     /// Takes a retry from the pool's budget if the request may be sent again.
     bool try_acquire_retry() const;
     /// Fails the call if the stream has sent no event for too long; otherwise checks again later.
