Prompt parts that crash backend servers are held back by the whole fleet

Cause: nothing remembered what the requests lost in earlier crashes had in common, and each instance saw only a few of the crashes. Change: coordination/part_suspicions charges every part of a request that was lost before its answer; an answer refutes the charges; two charges make requests with the part wait for a trial, one in the whole fleet; a failed trial blocks the part for 5 s, then 15, 45, .., and explains the crashes that other parts were charged with. app/part_service confirms a crash by a connection that is refused, spreads the news as rumors to 4 random peers and repeats them to 2 twice a second, and asks one instance for leave to try. A request that was lost twice, once in a crash, is not sent a third time.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -29,6 +29,7 @@
     bool success = head.status >= 200 && head.status < 300;
     if (success && !report.has_valid_stamp)
         return answer_verdict::reject;
+    success_ = success;
     server_error_ = head.status >= 500;
     bool small =
         head.framing != transport::http_framing::chunked && head.length <= max_buffered_bytes;
@@ -88,6 +89,8 @@
     if (first_answer_seen_)
         return;
     first_answer_seen_ = true;
+    if (success_ && !guarded_parts_.empty())
+        services_.parts.on_answer(guarded_parts_);
     auto now = services_.loop.now();
     services_.state.router.on_first_answer(*choice_, now - sent_at_, now);
     first_answer_ms_ = coordination::to_seconds(now - sent_at_) * 1000;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -49,11 +49,14 @@
           loop, settings_, dependencies_.records, log_,
           [this](auto scope) { return report(scope); },
           [this](const auto& it) { on_peer_report(it); },
-          [this](std::string_view bytes) { return permits_.on_datagram(bytes); }),
+          [this](std::string_view bytes) {
+              return permits_.on_datagram(bytes) || parts_.on_datagram(bytes);
+          }),
       permits_(loop, settings_, state_, peers_, log_, log_limiter_, metrics_),
+      parts_(loop, settings_, peers_, log_, log_limiter_, metrics_),
       services_{settings_, loop_,    backends_,    dependencies_.dialect,
                 state_,    log_,     log_limiter_, metrics_,
-                history_,  permits_, false},
+                history_,  permits_, parts_,       false},
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
@@ -67,7 +70,7 @@
           [this](const auto& exchange) {
               exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
           }),
-      pages_({settings_, loop_, metrics_, history_, state_, peers_, permits_, weights_,
+      pages_({settings_, loop_, metrics_, history_, state_, peers_, permits_, parts_, weights_,
               [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }, [this] { return registry_era_; }}),
       operators_(loop, {}, [this](const auto& exchange) {
@@ -247,6 +250,7 @@
                        {{"backend_server", it.server}, {"said_by", report.instance}});
     }
     permits_.on_peer(report.instance, report.incarnation);
+    parts_.on_peer(report.instance, report.incarnation);
     if (report.work)
         state_.router.on_peer_work(report.instance, *report.work, now);
     for (const auto& it : report.placed)
@@ -291,6 +295,7 @@
         !registry_reached_lately && now - registry_lost_at_ >= internal::stale_policy_timeout;
     state_.router.expire_peers(now);
     permits_.tick();
+    parts_.tick();
     for (auto& [model, it] : state_.desired_weights)
         it.drop_obsolete(std::chrono::milliseconds(settings_.weights_limit_ms), now);
     bool limit_report_due = std::any_of(state_.limits.begin(), state_.limits.end(),
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -5,6 +5,7 @@
 
 #include "azureyoke/src/app/forward_pages.h"
 #include "azureyoke/src/app/forward_session.h"
+#include "azureyoke/src/app/part_service.h"
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
 #include "azureyoke/src/app/weights_service.h"
@@ -77,6 +78,7 @@
     forward_state state_;
     peer_directory peers_;
     permit_service permits_;
+    part_service parts_;
     forward_services services_;
     weights_service weights_;
     transport::front_server callers_;
--- a/azureyoke/src/app/forward_pages.cpp
+++ b/azureyoke/src/app/forward_pages.cpp
@@ -44,6 +44,19 @@
     return list;
 }
 
+ordered_json suspected_parts_of(const coordination::part_suspicions& suspicions,
+                                transport::instant now) {
+    ordered_json list = ordered_json::object();
+    for (const auto& part : suspicions.suspected()) {
+        auto known = suspicions.evidence(part);
+        auto wait = suspicions.next_trial(part, now) - now;
+        list[part] = {{"crashes", known.crashes.size()},
+                      {"failed_trials", known.failed_trials},
+                      {"next_trial_ms", wait / std::chrono::milliseconds(1)}};
+    }
+    return list;
+}
+
 } // namespace
 } // namespace internal
 
@@ -83,6 +96,7 @@
     for (const auto& [model, it] : state.desired_weights)
         page["weights"][model] = it.newest();
     page["backend_servers"] = internal::servers_of(state, sources_.permits);
+    page["suspected_parts"] = internal::suspected_parts_of(sources_.parts.suspicions(), now);
     page["limits"] = internal::limits_of(state, now);
     return page.dump() + "\n";
 }
--- a/azureyoke/src/app/forward_pages.h
+++ b/azureyoke/src/app/forward_pages.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "azureyoke/src/app/forward_state.h"
+#include "azureyoke/src/app/part_service.h"
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
 #include "azureyoke/src/app/weights_service.h"
@@ -21,6 +22,7 @@
     forward_state& state;
     const peer_directory& peers;
     permit_service& permits;
+    const part_service& parts;
     const weights_service& weights;
     std::function<bool()> ready;
     std::function<bool()> draining;
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/coordination/time.h"
+#include "azureyoke/src/state/fleet_server.h"
 #include "azureyoke/src/state/traffic_policy.h"
 
 namespace azureyoke::app {
@@ -70,6 +72,18 @@
     return std::min(left_ms, std::max(min_abandon_delay_ms, first_answer_ms));
 }
 
+/// \returns the names by which the parts of a prompt but the last are guarded against crashes. The
+/// last part belongs to the request alone.
+inline std::vector<std::string> guarded_parts(const std::string& pool,
+                                              const std::vector<state::prompt_part>& parts) {
+    constexpr std::size_t max_parts = 32;
+    constexpr std::size_t max_name = 128;
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i + 1 < parts.size() && i < max_parts; ++i)
+        names.push_back((pool + "/" + parts[i].id).substr(0, max_name));
+    return names;
+}
+
 /// \returns the pool for this request, chosen by the weights of the route's targets. The same
 /// request id always gives the same pool.
 inline std::string select_pool(const state::forward_route& route, const std::string& request_id) {
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -67,6 +67,7 @@
         query_.model = request_info_.model; // a pool without models has no weights
     query_.max_connections = pool == nullptr ? 0 : pool->max_connections;
     query_.parts = request_info_.parts;
+    guarded_parts_ = guarded_parts(pool_, request_info_.parts);
     query_.number = static_cast<std::int64_t>(std::hash<std::string>()(request_info_.request_id));
     if (workspace_ != nullptr && workspace_->isolated)
         query_.cache_salt = workspace_->name;
@@ -129,6 +130,8 @@
         refuse(may_have_run_ ? 502 : 401, "the key was withdrawn");
         return;
     }
+    if (!pass_part_guard())
+        return;
     if (!choose_server()) {
         refuse_no_server();
         return;
@@ -149,6 +152,36 @@
         send_request();
 }
 
+bool forward_session::pass_part_guard() {
+    if (!trial_part_.empty())
+        return true;
+    using verdict = coordination::part_assessment::verdict;
+    auto assessed = services_.parts.assess(guarded_parts_);
+    if (assessed.result == verdict::sound)
+        return true;
+    if (assessed.result == verdict::blocked)
+        refuse_suspected(assessed.part, assessed.until - services_.loop.now());
+    else
+        services_.parts.acquire_trial(
+            assessed.part,
+            [self = shared_from_this(), part = assessed.part](bool granted, auto wait) {
+                self->on_trial_decided(part, granted, wait);
+            });
+    return false;
+}
+
+void forward_session::on_trial_decided(const std::string& part, bool granted,
+                                       coordination::duration wait) {
+    if (finished_)
+        return;
+    if (!granted) {
+        refuse_suspected(part, wait);
+        return;
+    }
+    trial_part_ = part;
+    dispatch();
+}
+
 void forward_session::request_permit() {
     // Without a choice the request counts as not under way: nothing was sent yet.
     auto choice = *std::exchange(choice_, std::nullopt);
@@ -217,6 +250,7 @@
     ++possible_runs_;
     sent_at_ = services_.loop.now();
     first_answer_seen_ = false;
+    success_ = false;
     server_error_ = false;
     answer_mode_ = answer_mode::pass_through;
     buffered_ = {};
@@ -267,6 +301,9 @@
                          : first_answer_seen_    ? "broken off"
                                                  : "lost";
     services_.measures.count("azureyoke_failed_attempts_total", "result", result);
+    if (ec.may_have_sent_bytes && ec.code == transport::errc::connection_lost &&
+        !first_answer_seen_)
+        report_lost();
     end_call(ec.may_have_sent_bytes ? call_outcome::incomplete : call_outcome::unreachable);
     if (ec.may_have_sent_bytes)
         may_have_run_ = true;
@@ -277,7 +314,24 @@
     retry_or_refuse(ec.what);
 }
 
+void forward_session::report_lost() {
+    ++lost_sends_;
+    const auto* server = services_.state.directory.find(last_server_);
+    auto address = transport::parse_address(server == nullptr ? "" : server->address);
+    if (guarded_parts_.empty() || !address)
+        return;
+    services_.parts.on_lost(
+        {last_server_, last_started_ms_, *address, guarded_parts_, std::exchange(trial_part_, {})},
+        [weak = weak_from_this()] {
+            if (auto self = weak.lock())
+                ++self->crashes_;
+        });
+}
+
 bool forward_session::try_acquire_retry() const {
+    // A request that was lost twice before its answer, once in a crash, may be the cause.
+    if (lost_sends_ > 1 && crashes_ > 0)
+        return false;
     bool may_resume = route_->rule == state::execution_rule::stream && route_->resumable;
     bool repeats = route_->rule == state::execution_rule::repeatable || may_resume;
     bool safe = exchange_->started() ? may_resume : !may_have_run_ || repeats;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -44,6 +44,13 @@
     void dispatch();
     bool choose_server();
     void refuse_no_server();
+    /// \returns whether the parts of the prompt allow to send the request now. Otherwise it was
+    /// refused, or waits for leave to be a trial.
+    bool pass_part_guard();
+    void on_trial_decided(const std::string& part, bool granted, coordination::duration wait);
+    void refuse_suspected(const std::string& part, coordination::duration wait);
+    /// The connection was lost before the answer began.
+    void report_lost();
     /// Asks for a permit to send to the chosen server, which limits its rate.
     void request_permit();
     void on_permit(const coordination::server_choice& choice, bool granted);
@@ -115,10 +122,15 @@
     std::int64_t last_uncached_tokens_ = 0; ///< Uncached prompt tokens of the last send.
     double last_estimate_ms_ = 0;           ///< Estimated first answer time of `last_server_`.
     double first_answer_ms_ = 0;
+    std::vector<std::string> guarded_parts_; ///< Names of the prompt's parts but the last.
+    std::string trial_part_;                 ///< The part that this request is the trial of.
+    int lost_sends_ = 0;                     ///< Sends that ended before their answer began.
+    int crashes_ = 0;                        ///< Crashes of servers that held this request.
     int denied_permits_ = 0;
     int sends_ = 0;
     int possible_runs_ = 0; ///< Sends that may have run.
     bool first_answer_seen_ = false;
+    bool success_ = false;      ///< The current answer has a status 2xx.
     bool server_error_ = false; ///< The current answer has status 500 or above.
     bool may_have_run_ = false;
     bool finished_ = false;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -10,6 +10,7 @@
 #include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/app/log_rate_limiter.h"
 #include "azureyoke/src/app/metrics.h"
+#include "azureyoke/src/app/part_guard.h"
 #include "azureyoke/src/app/permit_source.h"
 #include "azureyoke/src/app/request_history.h"
 #include "azureyoke/src/coordination/desired_weights.h"
@@ -69,6 +70,7 @@
     metrics& measures;
     request_history& history;
     permit_source& permits;
+    part_guard& parts;
     bool refuse_all = false; ///< The instance is about to exit.
 };
 
--- /dev/null
+++ b/test/part_suspicions_test.cpp
@@ -0,0 +1,220 @@
+// Guards against prompt parts that crash one backend server after the other, and against sound
+// parts that are taken for those.
+#include "azureyoke/src/coordination/part_suspicions.h"
+
+#include <criterion/criterion.h>
+
+#include "test/property.h"
+
+using namespace azureyoke;
+using coordination::crash_mark;
+using coordination::duration;
+using coordination::instant;
+using coordination::part_assessment;
+using coordination::part_suspicions;
+using verdict = coordination::part_assessment::verdict;
+
+namespace {
+
+constexpr duration ms = std::chrono::milliseconds(1);
+constexpr duration second = std::chrono::seconds(1);
+constexpr instant start{std::chrono::hours(1)};
+
+using parts = std::vector<std::string>;
+
+const parts deadly_prompt = {"first", "second", "deadly"};
+
+struct suspicions_fixture {
+    part_suspicions suspicions{{}};
+
+    void crash(const parts& prompt, std::uint64_t id, instant at) {
+        suspicions.on_crash(prompt, {id, at});
+    }
+
+    verdict of(const parts& prompt, instant at) const {
+        return suspicions.assess(prompt, at).result;
+    }
+
+    /// Two crashes, and a third in the trial of `deadly`.
+    void block_deadly() {
+        crash(deadly_prompt, 1, start);
+        crash(deadly_prompt, 2, start + second);
+        crash(deadly_prompt, 3, start + 2 * second);
+        suspicions.on_trial_failed("deadly", {3, start + 2 * second});
+    }
+};
+
+} // namespace
+
+Test(part_suspicions, one_crash_suspects_nothing) {
+    suspicions_fixture it;
+    it.crash(deadly_prompt, 1, start);
+    cr_assert_eq(it.of(deadly_prompt, start + second), verdict::sound);
+}
+
+Test(part_suspicions, two_crashes_make_a_request_wait_for_a_trial_of_its_last_shared_part) {
+    suspicions_fixture it;
+    it.crash(deadly_prompt, 1, start);
+    it.crash(deadly_prompt, 2, start + second);
+    auto assessed = it.suspicions.assess(deadly_prompt, start + second);
+    cr_assert_eq(assessed.result, verdict::trial);
+    cr_assert_eq(assessed.part, "deadly");
+}
+
+Test(part_suspicions, part_with_most_crashes_is_tried_first) {
+    suspicions_fixture it;
+    it.crash({"deadly", "a"}, 1, start);
+    it.crash({"deadly", "b"}, 2, start + second);
+    it.crash({"deadly", "a"}, 3, start + 2 * second);
+    cr_assert_eq(it.suspicions.assess({"deadly", "a"}, start + 3 * second).part, "deadly");
+}
+
+Test(part_suspicions, crashes_at_the_same_moment_count_once) {
+    suspicions_fixture it;
+    it.crash({"hot"}, 1, start);
+    it.crash({"hot"}, 2, start + 50 * ms);
+    it.crash({"hot"}, 3, start + 90 * ms);
+    cr_assert_eq(it.of({"hot"}, start + second), verdict::sound);
+}
+
+Test(part_suspicions, crash_that_two_instances_report_counts_once) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.suspicions.merge("x", {{{1, start + 150 * ms}}, {}, 0, {}}, start + 200 * ms);
+    cr_assert_eq(it.of({"x"}, start + second), verdict::sound);
+    it.suspicions.merge("x", {{{2, start + 300 * ms}}, {}, 0, {}}, start + 400 * ms);
+    cr_assert_eq(it.of({"x"}, start + second), verdict::trial);
+}
+
+Test(part_suspicions, answer_refutes_earlier_crashes_but_no_later_ones) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.suspicions.on_answer({"x"}, start + second);
+    it.crash({"x"}, 2, start + 2 * second);
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::sound);
+    it.crash({"x"}, 3, start + 3 * second);
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::trial);
+}
+
+Test(part_suspicions, one_trial_runs_at_a_time) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.crash({"x"}, 2, start + second);
+    cr_assert(it.suspicions.try_start_trial("x", start + second));
+    cr_assert_not(it.suspicions.try_start_trial("x", start + 2 * second));
+    cr_assert_eq(it.of({"x"}, start + 2 * second), verdict::blocked);
+    cr_assert(it.suspicions.try_start_trial("x", start + 7 * second),
+              "a trial without a result keeps others back for ever");
+}
+
+Test(part_suspicions, failed_trials_block_for_times_that_multiply) {
+    suspicions_fixture it;
+    it.block_deadly();
+    auto failed = start + 2 * second;
+    cr_assert_eq(it.of(deadly_prompt, failed + 4 * second), verdict::blocked);
+    cr_assert_eq(it.of(deadly_prompt, failed + 5 * second), verdict::trial);
+    it.crash(deadly_prompt, 4, failed + 5 * second);
+    it.suspicions.on_trial_failed("deadly", {4, failed + 5 * second});
+    cr_assert_eq(it.of(deadly_prompt, failed + 19 * second), verdict::blocked);
+    cr_assert_eq(it.of(deadly_prompt, failed + 20 * second), verdict::trial);
+}
+
+Test(part_suspicions, failed_trial_explains_the_crashes_of_the_other_parts) {
+    suspicions_fixture it;
+    it.block_deadly();
+    cr_assert_eq(it.of({"first", "second"}, start + 3 * second), verdict::sound);
+    it.suspicions.merge("second", {{{1, start}, {2, start + second}}, {}, 0, {}},
+                        start + 3 * second);
+    cr_assert_eq(it.of({"first", "second"}, start + 3 * second), verdict::sound,
+                 "a peer that does not know of the trial brings the charges back");
+}
+
+Test(part_suspicions, sound_part_whose_trial_met_a_crash_of_another_part_may_be_tried_at_once) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.crash({"x"}, 2, start + second);
+    it.crash({"x"}, 3, start + 2 * second);
+    it.suspicions.on_trial_failed("x", {3, start + 2 * second});
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::blocked);
+    it.crash({"deadly"}, 4, start + 2500 * ms);
+    it.suspicions.merge("deadly", {{{3, start + 2 * second}}, {}, 0, {}}, start + 3 * second);
+    it.suspicions.on_trial_failed("deadly", {4, start + 3 * second});
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::trial);
+}
+
+Test(part_suspicions, answer_clears_a_blocked_part_at_once) {
+    suspicions_fixture it;
+    it.block_deadly();
+    it.suspicions.on_answer(deadly_prompt, start + 8 * second);
+    cr_assert_eq(it.of(deadly_prompt, start + 8 * second), verdict::sound);
+    cr_assert(it.suspicions.suspected().empty());
+}
+
+Test(part_suspicions, old_report_of_a_peer_does_not_revive_a_cleared_part) {
+    suspicions_fixture it;
+    it.block_deadly();
+    auto before = it.suspicions.evidence("deadly");
+    (void)it.suspicions.take_changed(10);
+    it.suspicions.on_answer(deadly_prompt, start + 8 * second);
+    it.suspicions.merge("deadly", before, start + 9 * second);
+    cr_assert_eq(it.of(deadly_prompt, start + 9 * second), verdict::sound);
+}
+
+Test(part_suspicions, answers_to_parts_without_crashes_cost_no_memory) {
+    suspicions_fixture it;
+    for (int i = 0; i < 1000; ++i)
+        it.suspicions.on_answer({"p" + std::to_string(i)}, start + i * ms);
+    cr_assert(it.suspicions.empty());
+}
+
+Test(part_suspicions, flood_of_crashes_does_not_push_out_a_blocked_part) {
+    suspicions_fixture it;
+    it.block_deadly();
+    for (int i = 0; i < 5000; ++i)
+        it.crash({"p" + std::to_string(i)}, 100 + static_cast<std::uint64_t>(i),
+                 start + 3 * second + i * ms);
+    cr_assert_eq(it.of(deadly_prompt, start + 4 * second), verdict::blocked);
+}
+
+Test(part_suspicions, crashes_are_forgotten_in_the_end) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.suspicions.expire(start + std::chrono::minutes(4));
+    cr_assert_not(it.suspicions.empty());
+    it.suspicions.expire(start + std::chrono::minutes(5));
+    cr_assert(it.suspicions.empty());
+}
+
+// The order in which evidence arrives must not matter, nor whether it comes once or more often.
+Test(part_suspicions, instances_that_exchange_all_they_know_agree) {
+    check_property("agreement", [](const std::vector<std::uint8_t>& script) {
+        part_suspicions a{{}};
+        part_suspicions b{{}};
+        auto now = start;
+        std::uint64_t id = 0;
+        for (auto it : script) {
+            now += 137 * ms;
+            auto& one = it % 2 == 0 ? a : b;
+            parts prompt = {it % 3 == 0 ? "p" : "q", "r"};
+            if (it % 8 < 5)
+                one.on_crash(prompt, {++id, now});
+            else if (it % 8 < 7)
+                one.on_answer(prompt, now);
+            else {
+                one.on_crash({"p"}, {++id, now});
+                one.on_trial_failed("p", {id, now});
+            }
+        }
+        for (int round = 0; round < 3; ++round) {
+            for (auto [from, to] : {std::pair(&a, &b), std::pair(&b, &a)}) {
+                (void)from->take_changed(100);
+                for (const auto& part : from->active(100))
+                    to->merge(part, from->evidence(part), now);
+            }
+        }
+        for (const char* part : {"p", "q", "r"}) {
+            RC_ASSERT(a.is_suspected(part) == b.is_suspected(part));
+            RC_ASSERT(a.next_trial(part, now) == b.next_trial(part, now));
+        }
+    });
+}
--- a/test/permit_service_test.cpp
+++ b/test/permit_service_test.cpp
@@ -5,6 +5,8 @@
 
 #include <criterion/criterion.h>
 
+#include "test/empty_store.h"
+
 using namespace azureyoke;
 
 namespace {
@@ -12,21 +14,6 @@
 constexpr transport::duration ms = std::chrono::milliseconds(1);
 constexpr double unlimited = std::numeric_limits<double>::infinity();
 
-class empty_store : public app::record_store {
-public:
-    void read(const std::string& /*key*/,
-              std::function<void(std::optional<app::stored_record>)> /*done*/) override {}
-
-    void
-    list(const std::string& /*prefix*/,
-         std::function<void(std::optional<std::vector<app::stored_record>>)> /*done*/) override {}
-
-    void write(const std::string& /*key*/, const std::optional<state::record_version>& /*expected*/,
-               const std::string& /*value*/, write_handler /*done*/) override {}
-
-    void erase(const std::string& /*key*/) override {}
-};
-
 /// One instance with its own address; all instances use the same port.
 struct member {
     transport::event_loop& loop;
