Log who resumes a stream, and the software version that it began and goes on at

Cause: no line told a server's software version or named the attempt that a caller takes up. No change of behaviour.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -131,6 +131,8 @@
     if (events.empty())
         return;
     record_first_answer();
+    if (stream_software_.empty() && request_info_.last_event.empty())
+        stream_software_ = last_software_;
     last_event_at_ = services_.loop.now();
     write_to_caller(events);
 }
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -118,6 +118,7 @@
     std::vector<state::prompt_part> parts;
     std::optional<std::int64_t> tokens; ///< Upper bound of prompt and completion tokens, if given.
     std::string last_event;             ///< Last event received of a resumed stream, or empty.
+    std::string resumed_request; ///< Id of the request that got the stream's first event, or empty.
 
     friend bool operator==(const request_info&, const request_info&) = default;
 };
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -256,11 +256,14 @@
     buffered_ = {};
     last_server_ = choice_->server;
     last_started_ms_ = server->started_ms;
+    last_software_ = server->software;
     last_estimate_ms_ = choice_->estimated_first_answer_ms;
     last_uncached_tokens_ = choice_->uncached_tokens;
     add_step("sent to " + last_server_ + " for " + std::to_string(last_uncached_tokens_) +
              " uncached prompt tokens, first answer expected in " +
              std::to_string(std::lround(last_estimate_ms_)) + " ms");
+    if (!relay_.last_id().empty() || !request_info_.last_event.empty())
+        log_resumption(server->software);
     services_.state.router.on_sent(query_, *choice_, sent_at_);
     if (services_.state.server_limits.limit_of(last_server_))
         services_.measures.count("azureyoke_limited_sends_total", "backend_server", last_server_);
@@ -270,6 +273,21 @@
         check_event_gap();
 }
 
+void forward_session::log_resumption(const std::string& software) const {
+    const char* by = relay_.last_id().empty() ? "caller" : "instance";
+    services_.measures.count("azureyoke_resumptions_total", "by", by);
+    std::int64_t left_out = 0;
+    if (services_.log_limiter.try_acquire(event_id::stream_resumed, sent_at_, left_out))
+        services_.log.write(event_id::stream_resumed,
+                            {{"request", request_info_.request_id},
+                             {"by", by},
+                             {"resumed_request", request_info_.resumed_request},
+                             {"backend_server", last_server_},
+                             {"software", software},
+                             {"began_on", stream_software_},
+                             {"left_out", std::to_string(left_out)}});
+}
+
 void forward_session::check_event_gap() {
     auto self = shared_from_this();
     auto limit = coordination::from_seconds(max_event_gap_ms(*route_) / 1000);
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -55,6 +55,7 @@
     void request_permit();
     void on_permit(const coordination::server_choice& choice, bool granted);
     void send_request();
+    void log_resumption(const std::string& software) const;
     forward_directive make_directive() const;
     /// Address of the cache store; empty when no pool has one.
     std::string cache_store_address() const;
@@ -118,6 +119,8 @@
     transport::http_response buffered_;
     coordination::event_relay relay_;
     std::string last_server_;
+    std::string last_software_;   ///< Software version of the last server used.
+    std::string stream_software_; ///< Software version that the stream began on; empty: unknown.
     std::int64_t last_started_ms_ = 0;      ///< Start of the run of the last server used.
     std::int64_t last_uncached_tokens_ = 0; ///< Uncached prompt tokens of the last send.
     double last_estimate_ms_ = 0;           ///< Estimated first answer time of `last_server_`.
--- a/azureyoke/src/state/fleet_server.h
+++ b/azureyoke/src/state/fleet_server.h
@@ -13,6 +13,8 @@
     std::string pool;
     std::string address; ///< IP:PORT
     std::string data_centre;
+    /// Version of its software. Only servers of the same version can continue a stream.
+    std::string software;
     bool leaving = false;        ///< Receives no new requests.
     int slots = 0;               ///< Requests that the server processes at once.
     std::int64_t warm_up_ms = 0; ///< Remaining warm-up time, during which the server is slower.
