A stream goes on only at the software version that it began on

Cause: an instance sent the rest of a stream to any server, and what a stream is bound to was known to nobody who got the take-up. Change: within an answer only servers of the version of the first event are candidates; without one the stream is cut. For a take-up the version is looked up: at this instance, at the three peers that keep the stream's binding while the pool has several versions, or in the open streams that each instance stores ten times a second in such times (80 writes a second over all instances at most). A stream that nobody knows goes on only if the pool has had one version for as long as a stream lasts, by the view of a peer too; instances that start read earlier versions from the store. Else it is refused with 503 and not run.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -131,8 +131,8 @@
     if (events.empty())
         return;
     record_first_answer();
-    if (stream_software_.empty() && request_info_.last_event.empty())
-        stream_software_ = last_software_;
+    if (bound_stream_.empty() && request_info_.last_event.empty() && route_->resumable)
+        bind_stream(request_info_.request_id, last_software_);
     last_event_at_ = services_.loop.now();
     write_to_caller(events);
 }
@@ -193,6 +193,8 @@
         if (route_->rule == state::execution_rule::stream)
             exchange_->write(relay_.take_incomplete());
         exchange_->end();
+        if (!bound_stream_.empty())
+            services_.streams.on_complete(bound_stream_);
         finish(event_id::request_finished, "answered");
         return;
     }
--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -26,19 +26,16 @@
     } else if (backoff) {
         refuse(status, "each usable backend server of pool \"" + pool_ + "\" asked for rest",
                coordination::to_seconds(coordination::retry_after_delay(*backoff, query_.number)));
+    } else if (!query_.software.empty()) {
+        refuse(status,
+               "no backend server of software version \"" + query_.software + "\" is usable",
+               bounded_retry_after(retry_after_no_server_s));
     } else {
         refuse(status, "no backend server of pool \"" + pool_ + "\" is usable",
                bounded_retry_after(retry_after_no_server_s));
     }
 }
 
-void forward_session::refuse_suspected(const std::string& part, coordination::duration wait) {
-    services_.measures.count("azureyoke_part_refusals_total", "pool", pool_);
-    auto seconds = std::max(coordination::to_seconds(wait), min_retry_after_s);
-    refuse(may_have_run_ ? 502 : 503, "prompt part \"" + part + "\" may crash backend servers",
-           bounded_retry_after(seconds));
-}
-
 void forward_session::on_deadline() {
     if (finished_)
         return;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -50,13 +50,16 @@
           [this](auto scope) { return report(scope); },
           [this](const auto& it) { on_peer_report(it); },
           [this](std::string_view bytes) {
-              return permits_.on_datagram(bytes) || parts_.on_datagram(bytes);
+              return permits_.on_datagram(bytes) || parts_.on_datagram(bytes) ||
+                     streams_.on_datagram(bytes);
           }),
       permits_(loop, settings_, state_, peers_, log_, log_limiter_, metrics_),
       parts_(loop, settings_, peers_, log_, log_limiter_, metrics_),
+      streams_(loop, settings_, state_, peers_, dependencies_.records, log_, metrics_),
       services_{settings_, loop_,    backends_,    dependencies_.dialect,
                 state_,    log_,     log_limiter_, metrics_,
-                history_,  permits_, parts_,       false},
+                history_,  permits_, parts_,       streams_,
+                false},
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
@@ -109,6 +112,7 @@
     registry_lost_at_ = loop_.now();
     dependencies_.registry.start(*this);
     weights_.start();
+    streams_.start();
     housekeeping_timer_ = loop_.every(internal::housekeeping_period, [this] { housekeeping(); });
     return {};
 }
@@ -119,6 +123,7 @@
     callers_.set_limits(internal::limits_of(copy.policy->bounds()));
     log_.write(event_id::configuration_accepted,
                {{"version", std::to_string(copy.policy->version())}});
+    streams_.on_fleet_changed();
     peers_.send_now();
 }
 
@@ -140,6 +145,7 @@
 
 void forward_instance::on_servers(const std::vector<state::fleet_server>& list) {
     state_.directory.replace_all(list, loop_.now());
+    streams_.on_fleet_changed();
 }
 
 void forward_instance::on_server(const state::fleet_server& entry) {
@@ -150,14 +156,18 @@
     }
     if (entry.leaving && (known == nullptr || !known->leaving))
         log_.write(event_id::replica_draining, {{"backend_server", entry.id}});
+    bool is_other_software = known == nullptr || known->software != entry.software;
     if (!state_.directory.put(entry, loop_.now()))
         on_unreadable_row("backend server " + entry.id,
                           "the registration is older than its recorded end");
+    else if (is_other_software)
+        streams_.on_fleet_changed();
 }
 
 void forward_instance::on_server_removed(const std::string& id) {
     log_.write(event_id::replica_removed, {{"backend_server", id}});
     state_.directory.remove(id, loop_.now());
+    streams_.on_fleet_changed();
 }
 
 void forward_instance::on_unreadable_row(const std::string& row, const std::string& why) {
@@ -185,6 +195,7 @@
     log_.write(event_id::registry_era,
                {{"era", std::to_string(era)}, {"returned", returned ? "yes" : "no"}});
     weights_.on_registry_era(era);
+    streams_.on_registry_era();
     if (!returned)
         return;
     state_.directory.on_registry_restored(loop_.now());
@@ -296,6 +307,7 @@
     state_.router.expire_peers(now);
     permits_.tick();
     parts_.tick();
+    streams_.tick();
     for (auto& [model, it] : state_.desired_weights)
         it.drop_obsolete(std::chrono::milliseconds(settings_.weights_limit_ms), now);
     bool limit_report_due = std::any_of(state_.limits.begin(), state_.limits.end(),
@@ -338,6 +350,7 @@
     if (!idle && waited < limit)
         return;
     auto running_timer = std::move(drain_timer_);
+    streams_.leave();
     peers_.leave();
     log_.write(event_id::drain_finished,
                {{"open", std::to_string(busy)},
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -8,6 +8,7 @@
 #include "azureyoke/src/app/part_service.h"
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
+#include "azureyoke/src/app/stream_service.h"
 #include "azureyoke/src/app/weights_service.h"
 
 namespace azureyoke::app {
@@ -79,6 +80,7 @@
     peer_directory peers_;
     permit_service permits_;
     part_service parts_;
+    stream_service streams_;
     forward_services services_;
     weights_service weights_;
     transport::front_server callers_;
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,22 @@
     return std::min(left_ms, std::max(min_abandon_delay_ms, first_answer_ms));
 }
 
+/// \returns for each pool with resumable streams how long such a stream lasts, at most.
+inline std::map<std::string, coordination::duration>
+stream_lifetimes(const state::traffic_policy& policy) {
+    std::map<std::string, coordination::duration> lifetimes;
+    for (const auto& route : policy.routes()) {
+        if (route.rule != state::execution_rule::stream || !route.resumable)
+            continue;
+        auto ms = route.timeout_ms > 0 ? route.timeout_ms : max_request_ms;
+        for (const auto& target : route.targets) {
+            auto& longest = lifetimes[target.pool];
+            longest = std::max(longest, coordination::duration(std::chrono::milliseconds(ms)));
+        }
+    }
+    return lifetimes;
+}
+
 /// \returns the names by which the parts of a prompt but the last are guarded against crashes. The
 /// last part belongs to the request alone.
 inline std::vector<std::string> guarded_parts(const std::string& pool,
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -36,7 +36,10 @@
     deadline_timer_ =
         services_.loop.after(deadline_ - services_.loop.now(), [this] { on_deadline(); });
     services_.state.retry_budget(pool_).on_request(services_.loop.now());
-    dispatch();
+    if (route_->rule == state::execution_rule::stream && !request_info_.last_event.empty())
+        find_stream();
+    else
+        dispatch();
 }
 
 bool forward_session::admit() {
@@ -152,36 +155,6 @@
         send_request();
 }
 
-bool forward_session::pass_part_guard() {
-    if (!trial_part_.empty())
-        return true;
-    using verdict = coordination::part_assessment::verdict;
-    auto assessed = services_.parts.assess(guarded_parts_);
-    if (assessed.result == verdict::sound)
-        return true;
-    if (assessed.result == verdict::blocked)
-        refuse_suspected(assessed.part, assessed.until - services_.loop.now());
-    else
-        services_.parts.acquire_trial(
-            assessed.part,
-            [self = shared_from_this(), part = assessed.part](bool granted, auto wait) {
-                self->on_trial_decided(part, granted, wait);
-            });
-    return false;
-}
-
-void forward_session::on_trial_decided(const std::string& part, bool granted,
-                                       coordination::duration wait) {
-    if (finished_)
-        return;
-    if (!granted) {
-        refuse_suspected(part, wait);
-        return;
-    }
-    trial_part_ = part;
-    dispatch();
-}
-
 void forward_session::request_permit() {
     // Without a choice the request counts as not under way: nothing was sent yet.
     auto choice = *std::exchange(choice_, std::nullopt);
@@ -273,21 +246,6 @@
         check_event_gap();
 }
 
-void forward_session::log_resumption(const std::string& software) const {
-    const char* by = relay_.last_id().empty() ? "caller" : "instance";
-    services_.measures.count("azureyoke_resumptions_total", "by", by);
-    std::int64_t left_out = 0;
-    if (services_.log_limiter.try_acquire(event_id::stream_resumed, sent_at_, left_out))
-        services_.log.write(event_id::stream_resumed,
-                            {{"request", request_info_.request_id},
-                             {"by", by},
-                             {"resumed_request", request_info_.resumed_request},
-                             {"backend_server", last_server_},
-                             {"software", software},
-                             {"began_on", stream_software_},
-                             {"left_out", std::to_string(left_out)}});
-}
-
 void forward_session::check_event_gap() {
     auto self = shared_from_this();
     auto limit = coordination::from_seconds(max_event_gap_ms(*route_) / 1000);
@@ -332,20 +290,6 @@
     retry_or_refuse(ec.what);
 }
 
-void forward_session::report_lost() {
-    ++lost_sends_;
-    const auto* server = services_.state.directory.find(last_server_);
-    auto address = transport::parse_address(server == nullptr ? "" : server->address);
-    if (guarded_parts_.empty() || !address)
-        return;
-    services_.parts.on_lost(
-        {last_server_, last_started_ms_, *address, guarded_parts_, std::exchange(trial_part_, {})},
-        [weak = weak_from_this()] {
-            if (auto self = weak.lock())
-                ++self->crashes_;
-        });
-}
-
 bool forward_session::try_acquire_retry() const {
     // A request that was lost twice before its answer, once in a crash, may be the cause.
     if (lost_sends_ > 1 && crashes_ > 0)
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -41,6 +41,9 @@
     bool admit();
     bool authenticate();
     bool charge_rate_limit();
+    /// The caller takes up a stream: finds out on which software version it began.
+    void find_stream();
+    void on_stream_found(const stream_registry::answer& found);
     void dispatch();
     bool choose_server();
     void refuse_no_server();
@@ -55,6 +58,8 @@
     void request_permit();
     void on_permit(const coordination::server_choice& choice, bool granted);
     void send_request();
+    /// The stream of the request `stream` may go on at servers of this software version only.
+    void bind_stream(const std::string& stream, const std::string& software);
     void log_resumption(const std::string& software) const;
     forward_directive make_directive() const;
     /// Address of the cache store; empty when no pool has one.
@@ -121,6 +126,7 @@
     std::string last_server_;
     std::string last_software_;   ///< Software version of the last server used.
     std::string stream_software_; ///< Software version that the stream began on; empty: unknown.
+    std::string bound_stream_;    ///< Id of the request that got the stream's first event.
     std::int64_t last_started_ms_ = 0;      ///< Start of the run of the last server used.
     std::int64_t last_uncached_tokens_ = 0; ///< Uncached prompt tokens of the last send.
     double last_estimate_ms_ = 0;           ///< Estimated first answer time of `last_server_`.
--- /dev/null
+++ b/azureyoke/src/app/forward_stream.cpp
@@ -0,0 +1,51 @@
+// How forward_session binds a stream to a software version. The request path is in
+// forward_session.cpp.
+#include "azureyoke/src/app/forward_rules.h"
+#include "azureyoke/src/app/forward_session.h"
+
+namespace azureyoke::app {
+
+void forward_session::find_stream() {
+    services_.streams.find(
+        request_info_.resumed_request, pool_,
+        [self = shared_from_this()](const auto& found) { self->on_stream_found(found); });
+}
+
+void forward_session::on_stream_found(const stream_registry::answer& found) {
+    if (finished_)
+        return;
+    if (!found.software) {
+        std::optional<double> retry_after_s;
+        if (found.may_be_found_later)
+            retry_after_s = bounded_retry_after(retry_after_no_server_s);
+        refuse(503, found.why, retry_after_s);
+        return;
+    }
+    bind_stream(request_info_.resumed_request, *found.software);
+    dispatch();
+}
+
+void forward_session::bind_stream(const std::string& stream, const std::string& software) {
+    bound_stream_ = stream;
+    stream_software_ = software;
+    query_.software = software;
+    if (!stream.empty())
+        services_.streams.on_begun(stream, pool_, software, deadline_ - services_.loop.now());
+}
+
+void forward_session::log_resumption(const std::string& software) const {
+    const char* by = relay_.last_id().empty() ? "caller" : "instance";
+    services_.measures.count("azureyoke_resumptions_total", "by", by);
+    std::int64_t left_out = 0;
+    if (services_.log_limiter.try_acquire(event_id::stream_resumed, sent_at_, left_out))
+        services_.log.write(event_id::stream_resumed,
+                            {{"request", request_info_.request_id},
+                             {"by", by},
+                             {"resumed_request", request_info_.resumed_request},
+                             {"backend_server", last_server_},
+                             {"software", software},
+                             {"began_on", stream_software_},
+                             {"left_out", std::to_string(left_out)}});
+}
+
+} // namespace azureyoke::app
--- /dev/null
+++ b/azureyoke/src/app/stream_service.cpp
@@ -0,0 +1,378 @@
+#include "azureyoke/src/app/stream_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "azureyoke/src/app/forward_rules.h"
+
+namespace azureyoke::app {
+
+using coordination::duration;
+using nlohmann::json;
+
+namespace internal {
+namespace {
+
+/// Peers that keep a binding: with three, all are lost with one in 23 if a third of all instances
+/// is killed at once.
+constexpr std::size_t keepers = 3;
+/// A reply takes a round trip between data centres.
+constexpr transport::duration question_timeout = std::chrono::milliseconds(150);
+/// Callers take streams up again a little after their time, at most.
+constexpr duration binding_slack = std::chrono::seconds(5);
+constexpr transport::duration store_period = std::chrono::milliseconds(200);
+constexpr const char* versions_record = "software-versions";
+/// Each instance has a record of its open streams under this prefix.
+constexpr const char* streams_prefix = "streams/";
+constexpr transport::duration streams_period = std::chrono::milliseconds(100);
+/// Writes of all instances together, so that a large fleet leaves the store to others.
+constexpr double stream_writes_per_second = 80;
+/// Most streams in one record; a record may have 64 KiB.
+constexpr std::size_t max_stored_streams = 1000;
+/// Time for which stored streams are kept after a start.
+constexpr duration stored_stream_time = std::chrono::seconds(30);
+constexpr duration streams_retry = std::chrono::milliseconds(500);
+
+/// Ids of streams by pool and version.
+using stored_streams = std::map<std::string, std::map<std::string, std::vector<std::string>>>;
+
+std::optional<stored_streams> parse_streams(const std::string& text) {
+    try {
+        return json::parse(text).get<stored_streams>();
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::optional<coordination::version_sets> parse_versions(const std::string& text) {
+    if (text.empty())
+        return coordination::version_sets();
+    try {
+        return json::parse(text).get<coordination::version_sets>();
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+} // namespace internal
+
+stream_service::stream_service(transport::event_loop& loop, const forward_settings& settings,
+                               forward_state& state, peer_directory& peers, record_store& records,
+                               const event_log& log, metrics& measures)
+    : loop_(loop), settings_(settings), state_(state), peers_(peers), records_(records), log_(log),
+      measures_(measures), bindings_({}) {}
+
+void stream_service::start() {
+    read_stored();
+    read_streams();
+}
+
+void stream_service::read_streams() {
+    transferring_streams_ = true;
+    next_streams_ = loop_.now() + internal::streams_retry;
+    records_.list(internal::streams_prefix, [this](auto list) {
+        transferring_streams_ = false;
+        if (!list)
+            return; // tick tries again
+        streams_read_ = true;
+        auto now = loop_.now();
+        for (const auto& record : *list) {
+            auto streams = internal::parse_streams(record.value);
+            if (!streams) {
+                log_.warn(event_id::platform_row_unreadable,
+                          {{"row", record.key}, {"why", "must list streams by pool and version"}});
+                continue;
+            }
+            bool own = record.key == internal::streams_prefix + settings_.instance;
+            streams_stored_ = streams_stored_ || own;
+            for (const auto& [pool, versions] : *streams) {
+                for (const auto& [software, ids] : versions) {
+                    for (const auto& id : ids) {
+                        bindings_.add(id, {pool, software, now + internal::stored_stream_time},
+                                      now);
+                        if (own)
+                            own_streams_.insert(id);
+                    }
+                }
+            }
+        }
+    });
+}
+
+void stream_service::write_streams() {
+    internal::stored_streams streams;
+    std::size_t count = 0;
+    for (auto it = own_streams_.begin(); it != own_streams_.end();) {
+        auto binding = bindings_.find(*it, loop_.now());
+        if (!binding) {
+            it = own_streams_.erase(it);
+            continue;
+        }
+        if (has_several_versions(binding->pool) && ++count <= internal::max_stored_streams)
+            streams[binding->pool][binding->software].push_back(*it);
+        ++it;
+    }
+    if (streams.empty() && !streams_stored_)
+        return;
+    own_streams_changed_ = false;
+    streams_stored_ = !streams.empty();
+    transferring_streams_ = true;
+    auto done = [this](auto result, const auto& /*version*/) {
+        transferring_streams_ = false;
+        if (result != coordination::write_result::written)
+            own_streams_changed_ = true;
+    };
+    records_.write(internal::streams_prefix + settings_.instance, std::nullopt,
+                   json(streams).dump(), done);
+}
+
+void stream_service::read_stored() {
+    storing_ = true;
+    next_store_ = loop_.now() + internal::store_period;
+    records_.read(internal::versions_record, [this](auto record) {
+        storing_ = false;
+        if (!record)
+            return; // tick tries again
+        auto stored = internal::parse_versions(record->value);
+        if (!stored) {
+            log_.warn(event_id::platform_row_unreadable,
+                      {{"row", internal::versions_record},
+                       {"why", "must be an object of lists of versions"}});
+            return;
+        }
+        if (!versions_.complete())
+            versions_.add_stored(*stored, loop_.now());
+        stored_ = std::move(*stored);
+        if (peers_.rank(loop_.now()) == 0 && *stored_ != versions_.all())
+            write_stored(record->version);
+    });
+}
+
+void stream_service::write_stored(const state::record_version& version) {
+    storing_ = true;
+    auto written = versions_.all();
+    records_.write(internal::versions_record, version, json(written).dump(),
+                   [this, written](auto result, const auto& /*version*/) {
+                       storing_ = false;
+                       if (result == coordination::write_result::written)
+                           stored_ = written;
+                       else
+                           stored_.reset(); // somebody else wrote it, or it is not known
+                   });
+}
+
+void stream_service::on_registry_era() {
+    stored_.reset();
+}
+
+void stream_service::on_fleet_changed() {
+    if (state_.policy.policy == nullptr)
+        return;
+    auto now = loop_.now();
+    for (const auto& [pool, lifetime] : stream_lifetimes(*state_.policy.policy)) {
+        std::set<std::string> present;
+        for (const auto& [id, it] : state_.directory.all()) {
+            if (it.pool == pool)
+                present.insert(it.software);
+        }
+        versions_.set_present(pool, present, lifetime + internal::binding_slack, now);
+    }
+    tick();
+}
+
+bool stream_service::has_several_versions(const std::string& pool) const {
+    return versions_.of(pool).size() > 1;
+}
+
+void stream_service::tick() {
+    auto now = loop_.now();
+    versions_.expire(now);
+    bindings_.expire(now);
+    if (own_streams_.size() > bindings_.all().size())
+        std::erase_if(own_streams_,
+                      [&](const auto& stream) { return !bindings_.all().contains(stream); });
+    for (const auto& [pool, versions] : versions_.all()) {
+        if (versions.size() < 2) {
+            mixed_pools_.erase(pool);
+            continue;
+        }
+        if (!mixed_pools_.insert(pool).second)
+            continue;
+        std::vector<kept_stream> streams;
+        for (const auto& [stream, binding] : bindings_.all()) {
+            if (binding.pool == pool)
+                streams.push_back({stream, binding});
+        }
+        hand_over(streams, {});
+        own_streams_changed_ = true;
+    }
+    auto instances = static_cast<double>(peers_.count(now).all);
+    if (!transferring_streams_ && now >= next_streams_) {
+        if (!streams_read_)
+            read_streams();
+        else if (own_streams_changed_ || (streams_stored_ && mixed_pools_.empty())) {
+            write_streams();
+            next_streams_ = now + std::max(internal::streams_period,
+                                           coordination::from_seconds(
+                                               instances / internal::stream_writes_per_second));
+        }
+    }
+    if (storing_ || now < next_store_)
+        return;
+    bool leads = peers_.rank(now) == 0;
+    if (!versions_.complete() || (leads && (!stored_ || *stored_ != versions_.all())))
+        read_stored();
+}
+
+void stream_service::hand_over(const std::vector<kept_stream>& streams,
+                               const std::string& without) {
+    auto now = loop_.now();
+    auto names = peers_.live(now);
+    std::erase(names, without);
+    std::map<std::string, std::vector<kept_stream>> by_keeper;
+    for (const auto& it : streams) {
+        for (auto& keeper : coordination::choose_keepers(names, it.stream, internal::keepers))
+            by_keeper[keeper].push_back(it);
+    }
+    by_keeper.erase(settings_.instance);
+    for (const auto& [keeper, kept] : by_keeper) {
+        auto to = peers_.address_of(keeper);
+        if (!to)
+            continue;
+        for (const auto& bytes : to_messages(kept, now, transport::max_datagram_bytes))
+            peers_.send(*to, bytes);
+    }
+}
+
+void stream_service::leave() {
+    std::vector<kept_stream> streams;
+    for (const auto& [stream, binding] : bindings_.all()) {
+        if (has_several_versions(binding.pool))
+            streams.push_back({stream, binding});
+    }
+    hand_over(streams, settings_.instance);
+}
+
+void stream_service::on_begun(const std::string& stream, const std::string& pool,
+                              const std::string& software, duration remaining) {
+    auto now = loop_.now();
+    coordination::stream_binding binding{pool, software, now + remaining + internal::binding_slack};
+    bindings_.add(stream, binding, now);
+    own_streams_.insert(stream);
+    if (!has_several_versions(pool))
+        return;
+    own_streams_changed_ = true;
+    hand_over({{stream, binding}}, {});
+}
+
+void stream_service::on_complete(const std::string& stream) {
+    bindings_.remove(stream);
+    own_streams_.erase(stream);
+}
+
+void stream_service::find(const std::string& stream, const std::string& pool, handler done) {
+    auto now = loop_.now();
+    auto number = next_number_++;
+    auto& pending = pending_[number];
+    pending.pool = pool;
+    pending.done = std::move(done);
+    auto known = bindings_.find(stream, now);
+    if (known && known->pool == pool) {
+        end_question(number, {known->software, {}, false}, "known");
+        return;
+    }
+    pending.versions = versions_.of(pool);
+    pending.complete = versions_.complete();
+    auto names = peers_.live(now);
+    std::erase(names, settings_.instance);
+    auto asked = coordination::choose_keepers(names, stream, internal::keepers);
+    pending.awaited = asked.size();
+    if (asked.empty()) {
+        decide_unknown(number);
+        return;
+    }
+    pending.timeout =
+        loop_.after(internal::question_timeout, [this, number] { decide_unknown(number); });
+    auto bytes =
+        to_bytes(stream_question{transport::to_string(settings_.peers), number, stream, pool}, now);
+    for (const auto& name : asked) {
+        if (auto to = peers_.address_of(name))
+            peers_.send(*to, bytes);
+    }
+}
+
+void stream_service::end_question(std::uint64_t number, const answer& made, const char* result) {
+    auto node = pending_.extract(number);
+    if (node.empty())
+        return;
+    measures_.count("azureyoke_stream_questions_total", "result", result);
+    node.mapped().done(made);
+}
+
+void stream_service::decide_unknown(std::uint64_t number) {
+    auto found = pending_.find(number);
+    if (found == pending_.end())
+        return;
+    const auto& it = found->second;
+    // This instance may have been frozen or cut off, so that its own view is old: a peer must
+    // agree.
+    bool alone = peers_.count(loop_.now()).all == 1;
+    if (it.replies == 0 && !alone)
+        end_question(number, {std::nullopt, "no peer replied about the stream", true},
+                     "unanswered");
+    else if (it.complete && it.versions.size() == 1)
+        end_question(number, {*it.versions.begin(), {}, false}, "one version");
+    else
+        end_question(number,
+                     {std::nullopt, "the software version that the stream began on is not known",
+                      !streams_read_ || !it.complete},
+                     "unknown");
+}
+
+void stream_service::on_question(const stream_question& question) {
+    auto reply_to = transport::parse_address(question.reply_to);
+    if (!reply_to)
+        return;
+    auto now = loop_.now();
+    stream_reply reply{question.number, {}, versions_.of(question.pool), versions_.complete()};
+    auto known = bindings_.find(question.stream, now);
+    if (known && known->pool == question.pool)
+        reply.software = known->software;
+    peers_.send(*reply_to, to_bytes(reply, now));
+}
+
+void stream_service::on_reply(const stream_reply& reply) {
+    auto found = pending_.find(reply.number);
+    if (found == pending_.end())
+        return;
+    auto& it = found->second;
+    if (reply.software) {
+        end_question(reply.number, {reply.software, {}, false}, "known");
+        return;
+    }
+    it.versions.insert(reply.versions.begin(), reply.versions.end());
+    it.complete = it.complete || reply.complete;
+    if (++it.replies == it.awaited)
+        decide_unknown(reply.number);
+}
+
+bool stream_service::on_datagram(std::string_view bytes) {
+    auto now = loop_.now();
+    auto message = parse_stream_message(bytes, now);
+    if (!message)
+        return false;
+    if (const auto* kept = std::get_if<streams_to_keep>(&*message)) {
+        for (const auto& it : kept->streams)
+            bindings_.add(it.stream, it.binding, now);
+    } else if (const auto* question = std::get_if<stream_question>(&*message)) {
+        on_question(*question);
+    } else {
+        on_reply(std::get<stream_reply>(*message));
+    }
+    return true;
+}
+
+} // namespace azureyoke::app
--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -81,6 +81,8 @@
     for (const auto* it : directory.usable(query.pool)) {
         if (std::find(query.excluded.begin(), query.excluded.end(), it->id) != query.excluded.end())
             continue;
+        if (!query.software.empty() && it->software != query.software)
+            continue;
         const auto& view = views_[it->id];
         if (now < view.backoff_until || now < view.limited_until ||
             (query.unlimited_only && view.limits_rate))
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -52,6 +52,7 @@
 struct placement_query {
     std::string pool;
     std::string model;                     ///< Empty for a plain service.
+    std::string software;                  ///< The only software version to use; empty: any.
     std::string cache_salt;                ///< Requests with different salts share no cache.
     std::vector<state::prompt_part> parts; ///< The last part is not shared with other requests.
     std::vector<std::string> excluded;     ///< Servers that already failed this request.
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -10,6 +10,7 @@
 #include "azureyoke/src/transport/backend_fetch.h"
 #include "test/scripted_guard.h"
 #include "test/scripted_permits.h"
+#include "test/scripted_streams.h"
 
 namespace azureyoke {
 
@@ -23,6 +24,8 @@
         result.host = "h";
         result.key = transport::find_field(request.fields, "key").value_or("");
         result.model = transport::find_field(request.fields, "model").value_or("");
+        result.last_event = transport::find_field(request.fields, "last").value_or("");
+        result.resumed_request = transport::find_field(request.fields, "resumes").value_or("");
         if (auto part = transport::find_field(request.fields, "part"))
             result.parts = {{*part, 10}, {"own", 5}};
         if (auto ms = transport::find_field(request.fields, "deadline"))
@@ -159,6 +162,7 @@
     transport::backend_pool callers{loop, {}};
     scripted_permits permits{loop};
     scripted_guard guard;
+    scripted_streams streams;
     std::unique_ptr<app::forward_state> state;
     std::unique_ptr<app::forward_services> services;
     std::unique_ptr<transport::front_server> front;
@@ -170,7 +174,7 @@
         state = std::make_unique<app::forward_state>(settings);
         services = std::make_unique<app::forward_services>(
             app::forward_services{settings, loop, backends, dialect, *state, log, log_limiter,
-                                  measures, history, permits, guard, false});
+                                  measures, history, permits, guard, streams, false});
         permits.router = &state->router;
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
--- /dev/null
+++ b/test/forward_stream_test.cpp
@@ -0,0 +1,123 @@
+// Guards against streams that go on at another software version than they began on.
+#include "forward_fixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace azureyoke;
+using state::execution_rule;
+
+namespace {
+
+const std::string head =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string first_event = "11\r\nid: 1\ndata: one\n\n\r\n";
+const std::string second_event = "11\r\nid: 2\ndata: two\n\n\r\n";
+const std::string last_chunk = "0\r\n\r\n";
+const transport::http_fields take_up = {{"id", "q2"}, {"last", "1"}, {"resumes", "q1"}};
+
+struct stream_fixture : forward_fixture {
+    stream_fixture() : forward_fixture(resumable_route()) {}
+
+    static state::forward_route resumable_route() {
+        auto result = forward_fixture::route(execution_rule::stream, 3);
+        result.resumable = true;
+        return result;
+    }
+
+    void set_software(const std::string& of_first, const std::string& of_second) const {
+        for (const auto& [id, software] : {std::pair("a", of_first), std::pair("b", of_second)}) {
+            auto entry = *state->directory.find(id);
+            entry.software = software;
+            state->directory.put(entry, loop.now());
+        }
+    }
+};
+
+} // namespace
+
+Test(forward_stream, stream_goes_on_at_a_server_of_the_same_version) {
+    stream_fixture it;
+    it.set_software("v1", "v1");
+    auto& other = it.other_of("q1");
+    it.first_choice_of("q1").script.push_back({head + first_event, true});
+    other.script.push_back({head + second_event + last_chunk});
+    auto answer = it.fetch_answer();
+    cr_assert_eq(answer.status, 200);
+    cr_assert_eq(answer.body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+    cr_assert_eq(it.streams.begun.size(), 1U);
+    cr_assert_eq(it.streams.completed.size(), 1U);
+}
+
+Test(forward_stream, stream_does_not_go_on_at_a_server_of_another_version) {
+    stream_fixture it;
+    it.set_software("v1", "v2");
+    auto& other = it.other_of("q1");
+    it.first_choice_of("q1").script.push_back({head + first_event, true});
+    cr_assert_eq(it.fetch_answer().status, 0, "the caller must see that the stream broke off");
+    cr_assert(other.requests.empty());
+    cr_assert(it.streams.completed.empty());
+}
+
+Test(forward_stream, stream_that_broke_off_before_its_first_event_may_begin_at_another_version) {
+    stream_fixture it;
+    it.set_software("v1", "v2");
+    auto& other = it.other_of("q1");
+    it.first_choice_of("q1").script.push_back({head, true});
+    other.script.push_back({head + first_event + last_chunk});
+    cr_assert_eq(it.fetch_answer().status, 200);
+    cr_assert_eq(it.streams.begun.size(), 1U);
+}
+
+Test(forward_stream, taken_up_stream_goes_on_at_the_version_that_it_began_on) {
+    for (const char* version : {"v1", "v2"}) {
+        stream_fixture it;
+        it.set_software("v1", "v2");
+        it.streams.reply = version;
+        it.script({head + second_event + last_chunk});
+        cr_assert_eq(it.fetch_answer(take_up).status, 200);
+        cr_assert_eq(it.streams.asked.front(), "q1");
+        cr_assert_eq(it.first.requests.size(), version == std::string("v1") ? 1U : 0U);
+        cr_assert_eq(it.second.requests.size(), version == std::string("v2") ? 1U : 0U);
+    }
+}
+
+Test(forward_stream, taken_up_stream_of_a_version_without_servers_is_refused) {
+    stream_fixture it;
+    it.set_software("v2", "v2");
+    it.streams.reply = "v1";
+    cr_assert_eq(it.fetch_answer(take_up).status, 503);
+    cr_assert_eq(it.requests_received(), 0U);
+}
+
+Test(forward_stream, taken_up_stream_that_nobody_knows_is_refused_and_not_sent) {
+    stream_fixture it;
+    it.set_software("v1", "v2");
+    it.streams.reply = std::nullopt;
+    for (bool may_be_found_later : {false, true}) {
+        it.streams.may_be_found_later = may_be_found_later;
+        auto answer = it.fetch_answer(take_up);
+        cr_assert_eq(answer.status, 503);
+        cr_assert_eq(transport::find_field(answer.fields, "Retry-After").has_value(),
+                     may_be_found_later);
+    }
+    cr_assert_eq(it.requests_received(), 0U);
+}
+
+Test(forward_stream, taken_up_stream_stays_bound_to_the_request_that_began_it) {
+    stream_fixture it;
+    it.set_software("v1", "v1");
+    it.streams.reply = "v1";
+    it.script({head + second_event, true});
+    cr_assert_eq(it.fetch_answer(take_up).status, 0);
+    for (const auto& [stream, software] : it.streams.begun) {
+        cr_assert_eq(stream, "q1");
+        cr_assert_eq(software, "v1");
+    }
+}
+
+Test(forward_stream, new_stream_asks_nobody) {
+    stream_fixture it;
+    it.script({head + first_event + last_chunk});
+    cr_assert_eq(it.fetch_answer().status, 200);
+    cr_assert(it.streams.asked.empty());
+}
