A tenth of a workspace's limit is left to streams that are taken up again

Cause: an instance that is left alone has an even part of each limit, and all callers come to it; new requests spent the part first. Change: fleet_limit can reserve a fraction of its capacity for work that was begun before; the forwarding path reserves 0.1.

--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -21,6 +21,8 @@
 constexpr double min_retry_after_s = 0.05;
 /// Time limit of a request when neither its route nor its caller sets one.
 constexpr std::int64_t max_request_ms = 600'000;
+/// Fraction of a workspace's limit that only streams which are taken up again may use.
+constexpr double reserved_limit_fraction = 0.1;
 /// A request with less time left is not retried: its answer would come too late.
 constexpr double min_send_time_ms = 15;
 /// Sends that did not run are allowed in addition to the attempts that a route permits.
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -98,11 +98,13 @@
     double cost = 1;
     if (workspace_->limit_in_tokens)
         cost = static_cast<double>(request_info_.tokens.value_or(workspace_->default_tokens));
-    if (limit->try_acquire(cost, now)) {
+    auto kind = request_info_.last_event.empty() ? coordination::charge_kind::new_work
+                                                 : coordination::charge_kind::begun_work;
+    if (limit->try_acquire(cost, now, kind)) {
         charged_ = cost;
         return true;
     }
-    auto wait = std::max(limit->seconds_until(cost, now), min_retry_after_s);
+    auto wait = std::max(limit->seconds_until(cost, now, kind), min_retry_after_s);
     auto text = [](double value) { return std::to_string(std::lround(value)); };
     refuse(429,
            "workspace \"" + workspace_->name + "\" has used its rate and burst: " + text(cost) +
--- a/azureyoke/src/app/forward_state.cpp
+++ b/azureyoke/src/app/forward_state.cpp
@@ -1,5 +1,7 @@
 #include "azureyoke/src/app/forward_state.h"
 
+#include "azureyoke/src/app/forward_rules.h"
+
 namespace azureyoke::app {
 
 namespace internal {
@@ -14,6 +16,7 @@
 coordination::fleet_limit_settings limit_settings_of(const forward_settings& settings) {
     coordination::fleet_limit_settings result;
     result.window = coordination::from_seconds(settings.limit_window_s);
+    result.reserved_fraction = reserved_limit_fraction;
     return result;
 }
 
--- a/azureyoke/src/coordination/fleet_limit.cpp
+++ b/azureyoke/src/coordination/fleet_limit.cpp
@@ -51,11 +51,16 @@
     usable_part_ = members <= 0 ? 1.0 : static_cast<double>(members - unresponsive) / members;
 }
 
-bool fleet_limit::try_acquire(double cost, instant now) {
+// A full bucket admits a request larger than its capacity and goes into debt, since such a request
+// would never be admitted otherwise.
+double fleet_limit::required_level(double cost, charge_kind kind) const {
+    double reserve = kind == charge_kind::new_work ? settings_.reserved_fraction * capacity() : 0.0;
+    return std::min(cost + reserve, capacity());
+}
+
+bool fleet_limit::try_acquire(double cost, instant now, charge_kind kind) {
     refill(now);
-    // A full bucket admits a request larger than its capacity and goes into debt, since such a
-    // request would never be admitted otherwise.
-    if (level_ < std::min(cost, capacity()))
+    if (level_ < required_level(cost, kind))
         return false;
     level_ -= cost;
     spent_ += cost;
@@ -86,9 +91,9 @@
     counter.last_report = now;
 }
 
-double fleet_limit::seconds_until(double cost, instant now) {
+double fleet_limit::seconds_until(double cost, instant now, charge_kind kind) {
     refill(now);
-    double missing = std::min(cost, capacity()) - level_;
+    double missing = required_level(cost, kind) - level_;
     double rate = fill_rate() * usable_part_;
     return missing <= 0 || rate <= 0 ? 0 : missing / rate;
 }
--- a/azureyoke/src/coordination/fleet_limit.h
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -28,10 +28,17 @@
     /// it, a bucket that was emptied once would admit only the rate, which is less than the window
     /// allows. The remaining burst is the bucket's capacity for simultaneous requests.
     double spread_fraction = 0.5;
+    /// Fraction of the capacity that only work which was begun before may use.
+    double reserved_fraction = 0;
 
     friend bool operator==(const fleet_limit_settings&, const fleet_limit_settings&) = default;
 };
 
+enum class charge_kind {
+    new_work,
+    begun_work ///< Goes on with what was charged before, such as a stream that broke off.
+};
+
 /// \brief Token bucket of one workspace that is replicated on all instances.
 ///
 /// Load pattern: a hot workspace whose callers are spread unevenly over the instances and ask for
@@ -41,7 +48,9 @@
 /// The even part of the rate of an unresponsive member is withheld, so that all sides of a
 /// partition together stay within the limit; after a short gap the part is restored with the
 /// member's next report. A bucket starts empty, since a restarted instance does not know the
-/// spending before its start. Pure. Not thread safe.
+/// spending before its start. When most instances end at once, all callers come to the few that are
+/// left, with the streams that broke off: a part of each bucket is reserved for these, since
+/// callers lose more with them than with requests that have not begun. Pure. Not thread safe.
 class fleet_limit {
 public:
     fleet_limit(const fleet_limit_settings& settings, double rate, double burst, instant now);
@@ -53,7 +62,7 @@
     /// \brief Debits `cost` when the bucket covers it. A cost above the capacity needs a full
     /// bucket, whose level then falls below 0.
     /// \returns whether `cost` was debited.
-    bool try_acquire(double cost, instant now);
+    bool try_acquire(double cost, instant now, charge_kind kind = charge_kind::new_work);
     /// \brief Credits unused tokens, up to the capacity.
     void refund(double cost);
     /// \brief Debits what `peer` spent since its last report. `total` is the peer's counter since
@@ -62,7 +71,7 @@
     void on_peer_spent(const std::string& peer, std::uint64_t incarnation, double total,
                        instant now);
     /// \returns the seconds until `cost` can be spent, assuming that nothing else is spent.
-    double seconds_until(double cost, instant now);
+    double seconds_until(double cost, instant now, charge_kind kind = charge_kind::new_work);
 
     double rate() const { return rate_; }
 
@@ -99,6 +108,8 @@
     /// Capacity + refill rate x window = rate x window + burst, so that no window exceeds the
     /// limit.
     double capacity() const;
+    /// \returns the level from which `cost` may be debited.
+    double required_level(double cost, charge_kind kind) const;
     double fill_rate() const;
 
     fleet_limit_settings settings_;
--- a/test/fleet_limit_test.cpp
+++ b/test/fleet_limit_test.cpp
@@ -93,6 +93,28 @@
     cr_assert_float_eq(limit.seconds_until(100, start + second / 2), 0.1, 1e-6);
 }
 
+// Guards against streams that are not taken up again because new requests used the limit first.
+Test(fleet_limit, reserved_part_is_left_to_work_that_was_begun_before) {
+    using coordination::charge_kind;
+    coordination::fleet_limit_settings settings;
+    settings.reserved_fraction = 0.1;
+    fleet_limit limit(settings, rate, burst, start);
+    auto now = start + 10 * second;
+    while (limit.try_acquire(10, now)) {
+    }
+    cr_assert_float_eq(limit.available(now), 0.1 * burst, 10);
+    cr_assert(limit.seconds_until(10, now) > 0);
+    cr_assert_eq(limit.seconds_until(10, now, charge_kind::begun_work), 0);
+    double spent = 0;
+    while (limit.try_acquire(10, now, charge_kind::begun_work))
+        spent += 10;
+    cr_assert_geq(spent, 0.1 * burst - 10);
+    cr_assert_not(limit.try_acquire(10, now + second / 100, charge_kind::new_work),
+                  "the reserve is filled first");
+    cr_assert(limit.try_acquire(2 * burst, now + 60 * second),
+              "a full bucket admits a request larger than the capacity");
+}
+
 Test(fleet_limit, request_larger_than_the_burst_is_admitted_by_a_full_bucket_which_goes_into_debt) {
     fleet_limit limit({}, rate, burst, start);
     cr_assert(limit.try_acquire(3000, start + 2 * second));
