A stream that ends within an event is broken off

Cause: the bytes of the incomplete event were passed on and the answer was ended as if it were whole. Change: such an end is a failure of the attempt: the stream goes on at another server of its version, or is cut. A body of known length without numbered events is passed on as before.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -30,6 +30,7 @@
     if (success && !report.has_valid_stamp)
         return answer_verdict::reject;
     success_ = success;
+    ends_with_connection_ = head.framing == transport::http_framing::until_close;
     server_error_ = head.status >= 500;
     bool small =
         head.framing != transport::http_framing::chunked && head.length <= max_buffered_bytes;
@@ -189,6 +190,11 @@
         reply_buffered();
         return;
     case answer_mode::pass_through:
+        if (ended_within_event()) {
+            on_failure(
+                {transport::errc::connection_lost, "the stream ended within an event", true});
+            return;
+        }
         end_call(call_outcome::answered);
         if (route_->rule == state::execution_rule::stream)
             exchange_->write(relay_.take_incomplete());
@@ -200,6 +206,13 @@
     }
 }
 
+// A body of known length may end without the blank line of its last event, or have no events.
+bool forward_session::ended_within_event() const {
+    bool numbered = !relay_.last_id().empty();
+    return route_->rule == state::execution_rule::stream && relay_.has_incomplete() &&
+           (ends_with_connection_ || numbered);
+}
+
 void forward_session::reply_buffered() {
     auto status = buffered_.status;
     end_call(server_error_ ? call_outcome::error : call_outcome::answered);
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -78,6 +78,7 @@
     bool is_unconfirmed_refusal() const;
     /// Switches from buffering to passing through, because the answer exceeds the buffer.
     void stop_buffering();
+    bool ended_within_event() const;
     void reply_buffered();
     void on_not_run();
     void retry_or_refuse(const std::string& why);
@@ -139,8 +140,9 @@
     int sends_ = 0;
     int possible_runs_ = 0; ///< Sends that may have run.
     bool first_answer_seen_ = false;
-    bool success_ = false;      ///< The current answer has a status 2xx.
-    bool server_error_ = false; ///< The current answer has status 500 or above.
+    bool ends_with_connection_ = false; ///< The current answer has neither a length nor chunks.
+    bool success_ = false;              ///< The current answer has a status 2xx.
+    bool server_error_ = false;         ///< The current answer has status 500 or above.
     bool may_have_run_ = false;
     bool finished_ = false;
     std::vector<history_step> steps_;
--- a/azureyoke/src/coordination/event_relay.h
+++ b/azureyoke/src/coordination/event_relay.h
@@ -21,6 +21,9 @@
     /// \brief The stream ended normally. \returns the buffered bytes of an incomplete event.
     std::string take_incomplete();
 
+    /// \returns whether bytes of an incomplete event are buffered.
+    bool has_incomplete() const { return !incomplete_.empty(); }
+
     /// \returns whether the incomplete event exceeds `max_event_bytes`.
     bool exceeds_limit() const { return incomplete_.size() > max_event_bytes; }
 
--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -115,6 +115,43 @@
     }
 }
 
+// Guards against streams that look complete although they ended within an event.
+Test(forward_stream, stream_that_ends_within_an_event_goes_on_elsewhere_or_is_cut) {
+    const std::string unframed = "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\n\r\n";
+    const std::string chunked_end = "8\r\nid: 2\nda\r\n" + last_chunk;
+    for (const auto& broken : {unframed + "id: 1\ndata: one\n\nid: 2\nda", unframed + "id: 1\nda",
+                               head + first_event + chunked_end}) {
+        for (bool same_version : {true, false}) {
+            stream_fixture it;
+            it.set_software("v1", same_version ? "v1" : "v2");
+            auto& other = it.other_of("q1");
+            it.first_choice_of("q1").script.push_back({broken, true});
+            bool begun = broken.find("data: one") != std::string::npos;
+            other.script.push_back(
+                {head + (begun ? std::string() : first_event) + second_event + last_chunk});
+            auto answer = it.fetch_answer();
+            bool goes_on = same_version || !begun;
+            cr_assert_eq(answer.status, goes_on ? 200 : 0);
+            if (goes_on)
+                cr_assert_eq(answer.body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+        }
+    }
+}
+
+Test(forward_stream, unframed_stream_that_ends_after_an_event_is_complete) {
+    stream_fixture it;
+    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\n\r\nid: 1\ndata: one\n\n", true});
+    auto answer = it.fetch_answer();
+    cr_assert_eq(answer.status, 200);
+    cr_assert_eq(answer.body, "id: 1\ndata: one\n\n");
+}
+
+Test(forward_stream, body_without_events_is_passed_on_as_it_is) {
+    stream_fixture it;
+    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nContent-Length: 5\r\n\r\nplain"});
+    cr_assert_eq(it.fetch_answer().body, "plain");
+}
+
 Test(forward_stream, new_stream_asks_nobody) {
     stream_fixture it;
     it.script({head + first_event + last_chunk});
