A refusal without an id on a kept connection is no proof that a request did not run

Cause: an answer without an id counted as that of the current request, and a request that is sent to the same server twice has the same id both times. Change: a refusal without an id on a connection that carried an earlier call fails the attempt, with an unknown outcome; a request that goes to a server for the second time gets a new connection.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -12,6 +12,8 @@
     auto report = services_.dialect.read_answer(head);
     if (!report.request_id.empty() && report.request_id != request_info_.request_id)
         return answer_verdict::skip;
+    if (is_doubtful_refusal(head, report))
+        return answer_verdict::reject;
     auto& router = services_.state.router;
     if (report.running)
         router.on_load_report(choice_->server, *report.running, report.waiting.value_or(0),
@@ -49,6 +51,14 @@
     return answer_verdict::accept;
 }
 
+// A faulty server may write the refusal of an earlier request once more. Without an id it cannot be
+// told from the refusal of this request, which may run meanwhile.
+bool forward_session::is_doubtful_refusal(const transport::http_head& head,
+                                          const answer_info& report) const {
+    bool refusal = report.not_run || report.wrong_server || means_not_run(head.status);
+    return refusal && report.request_id.empty() && call_ != nullptr && call_->on_kept_connection();
+}
+
 void forward_session::update_server_state(const answer_info& report) {
     auto now = services_.loop.now();
     auto& state = services_.state;
@@ -161,9 +171,7 @@
 // Callers read these statuses as "the request did not run". Without the server's own report of
 // that, the request may have run, and a caller that repeats it could run it twice.
 bool forward_session::is_unconfirmed_refusal() const {
-    auto status = buffered_.status;
-    bool means_not_run = status == 503 || status == 429 || status == 408 || status == 421;
-    return means_not_run && route_->rule != state::execution_rule::repeatable;
+    return means_not_run(buffered_.status) && route_->rule != state::execution_rule::repeatable;
 }
 
 void forward_session::write_to_caller(std::string_view bytes) {
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -49,6 +49,11 @@
 constexpr coordination::duration rejection_timeout = std::chrono::milliseconds(100);
 constexpr std::size_t max_rejection_bytes = 16 * 1024;
 
+/// \returns whether callers read the status as a promise that the request did not run.
+inline bool means_not_run(int status) {
+    return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 /// \returns how long servers with older weights may still be used after new weights are set.
 inline coordination::duration old_weights_grace(const forward_settings& settings) {
     return std::chrono::milliseconds(settings.weights_limit_ms * old_weights_percent / 100);
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -242,7 +242,11 @@
     services_.state.router.on_sent(query_, *choice_, sent_at_);
     if (services_.state.server_limits.limit_of(last_server_))
         services_.measures.count("azureyoke_limited_sends_total", "backend_server", last_server_);
-    call_ = services_.backends.send(*address, request, true, shared_from_this());
+    // A second refusal of the first try, with the same id, may lie on a connection that is kept.
+    bool first_try = std::find(tried_servers_.begin(), tried_servers_.end(), last_server_) ==
+                     tried_servers_.end();
+    tried_servers_.push_back(last_server_);
+    call_ = services_.backends.send(*address, request, first_try, shared_from_this());
     last_event_at_ = sent_at_;
     if (route_->rule == state::execution_rule::stream)
         check_event_gap();
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -66,6 +66,8 @@
     std::string cache_store_address() const;
     /// Address from which the chosen server may fetch cached prompt parts that it lacks.
     std::string cache_source_address() const;
+    /// Whether a refusal may be that of an earlier request on the same connection.
+    bool is_doubtful_refusal(const transport::http_head& head, const answer_info& report) const;
     /// Applies the server state that the answer's head reports, however the answer is handled.
     void update_server_state(const answer_info& report);
     void start_answer(const transport::http_head& head);
@@ -125,7 +127,8 @@
     transport::http_response buffered_;
     coordination::event_relay relay_;
     std::string last_server_;
-    std::string last_software_;   ///< Software version of the last server used.
+    std::vector<std::string> tried_servers_; ///< To which this request was sent.
+    std::string last_software_;              ///< Software version of the last server used.
     std::string stream_software_; ///< Software version that the stream began on; empty: unknown.
     std::string bound_stream_;    ///< Id of the request that got the stream's first event.
     std::int64_t last_started_ms_ = 0;      ///< Start of the run of the last server used.
--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -56,6 +56,10 @@
     /// \brief Stops or resumes reading the answer, for backpressure.
     void pause(bool paused);
 
+    /// \returns whether the connection carried an earlier call, whose answer a faulty server may
+    /// write once more.
+    bool on_kept_connection() const { return number_ > 1; }
+
 private:
     std::shared_ptr<backend_connection> connection_;
     int number_; ///< Call number; the connection may already carry a later call.
