--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -13,6 +13,15 @@
 const std::string first_event = "11\r\nid: 1\ndata: one\n\n\r\n";
 const std::string second_event = "11\r\nid: 2\ndata: two\n\n\r\n";
 const std::string last_chunk = "0\r\n\r\n";
+const std::string unframed_head = "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\n\r\n";
+
+std::string concat(std::initializer_list<std::string> texts) {
+    std::string all;
+    for (const auto& it : texts)
+        all += it;
+    return all;
+}
+
 const transport::http_fields take_up = {{"id", "q2"}, {"last", "1"}, {"resumes", "q1"}};
 
 struct stream_fixture : forward_fixture {
@@ -40,7 +49,7 @@
     it.set_software("v1", "v1");
     auto& other = it.other_of("q1");
     it.first_choice_of("q1").script.push_back({head + first_event, true});
-    other.script.push_back({head + second_event + last_chunk});
+    other.script.push_back({concat({head, second_event, last_chunk})});
     auto answer = it.fetch_answer();
     cr_assert_eq(answer.status, 200);
     cr_assert_eq(answer.body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
@@ -63,7 +72,7 @@
     it.set_software("v1", "v2");
     auto& other = it.other_of("q1");
     it.first_choice_of("q1").script.push_back({head, true});
-    other.script.push_back({head + first_event + last_chunk});
+    other.script.push_back({concat({head, first_event, last_chunk})});
     cr_assert_eq(it.fetch_answer().status, 200);
     cr_assert_eq(it.streams.begun.size(), 1U);
 }
@@ -73,7 +82,7 @@
         stream_fixture it;
         it.set_software("v1", "v2");
         it.streams.reply = version;
-        it.script({head + second_event + last_chunk});
+        it.script({concat({head, second_event, last_chunk})});
         cr_assert_eq(it.fetch_answer(take_up).status, 200);
         cr_assert_eq(it.streams.asked.front(), "q1");
         cr_assert_eq(it.first.requests.size(), version == std::string("v1") ? 1U : 0U);
@@ -117,10 +126,10 @@
 
 // Guards against streams that look complete although they ended within an event.
 Test(forward_stream, stream_that_ends_within_an_event_goes_on_elsewhere_or_is_cut) {
-    const std::string unframed = "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\n\r\n";
     const std::string chunked_end = "8\r\nid: 2\nda\r\n" + last_chunk;
-    for (const auto& broken : {unframed + "id: 1\ndata: one\n\nid: 2\nda", unframed + "id: 1\nda",
-                               head + first_event + chunked_end}) {
+    for (const auto& broken :
+         {unframed_head + "id: 1\ndata: one\n\nid: 2\nda", unframed_head + "id: 1\nda",
+          concat({head, first_event, chunked_end})}) {
         for (bool same_version : {true, false}) {
             stream_fixture it;
             it.set_software("v1", same_version ? "v1" : "v2");
@@ -128,7 +137,7 @@
             it.first_choice_of("q1").script.push_back({broken, true});
             bool begun = broken.find("data: one") != std::string::npos;
             other.script.push_back(
-                {head + (begun ? std::string() : first_event) + second_event + last_chunk});
+                {concat({head, begun ? "" : first_event, second_event, last_chunk})});
             auto answer = it.fetch_answer();
             bool goes_on = same_version || !begun;
             cr_assert_eq(answer.status, goes_on ? 200 : 0);
@@ -154,7 +163,7 @@
 
 Test(forward_stream, new_stream_asks_nobody) {
     stream_fixture it;
-    it.script({head + first_event + last_chunk});
+    it.script({concat({head, first_event, last_chunk})});
     cr_assert_eq(it.fetch_answer().status, 200);
     cr_assert(it.streams.asked.empty());
 }
--- a/test/part_suspicions_test.cpp
+++ b/test/part_suspicions_test.cpp
@@ -7,10 +7,8 @@
 #include "test/property.h"
 
 using namespace azureyoke;
-using coordination::crash_mark;
 using coordination::duration;
 using coordination::instant;
-using coordination::part_assessment;
 using coordination::part_suspicions;
 using verdict = coordination::part_assessment::verdict;
 
