An instance that was stopped lets no stream go on until its list of servers is updated

Change: stream_service notices that it was stopped by the gap between two ticks; for 1.5 s take-ups are refused with a time to return, streams that began then are bound to nothing, and none goes on within its answer. Result: two new tests, one with the session and one with the service.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -142,8 +142,12 @@
     if (events.empty())
         return;
     record_first_answer();
-    if (bound_stream_.empty() && request_info_.last_event.empty() && route_->resumable)
-        bind_stream(request_info_.request_id, last_software_);
+    bool first_event = bound_stream_.empty() && !software_unknown_;
+    if (first_event && request_info_.last_event.empty() && route_->resumable) {
+        software_unknown_ = !versions_were_current_;
+        if (versions_were_current_)
+            bind_stream(request_info_.request_id, last_software_);
+    }
     last_event_at_ = services_.loop.now();
     write_to_caller(events);
 }
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -224,6 +224,7 @@
     ++sends_;
     ++possible_runs_;
     sent_at_ = services_.loop.now();
+    versions_were_current_ = services_.streams.versions_are_current();
     first_answer_seen_ = false;
     success_ = false;
     server_error_ = false;
@@ -302,6 +303,9 @@
         return false;
     bool may_resume = route_->rule == state::execution_rule::stream && route_->resumable;
     bool repeats = route_->rule == state::execution_rule::repeatable || may_resume;
+    bool begun = !relay_.last_id().empty();
+    if (begun && (software_unknown_ || !services_.streams.versions_are_current()))
+        return false;
     bool safe = exchange_->started() ? may_resume : !may_have_run_ || repeats;
     auto& state = services_.state;
     return safe && !exchange_->finished() && possible_runs_ < route_->max_attempts &&
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -141,12 +141,14 @@
     int crashes_ = 0;                        ///< Crashes of servers that held this request.
     int denied_permits_ = 0;
     int sends_ = 0;
-    int possible_runs_ = 0; ///< Sends that may have run.
+    int possible_runs_ = 0;             ///< Sends that may have run.
+    bool versions_were_current_ = true; ///< When the request was sent.
     bool first_answer_seen_ = false;
     bool ends_with_connection_ = false; ///< The current answer has neither a length nor chunks.
     bool success_ = false;              ///< The current answer has a status 2xx.
     bool server_error_ = false;         ///< The current answer has status 500 or above.
     bool may_have_run_ = false;
+    bool software_unknown_ = false; ///< The stream began, and may not go on at any server.
     bool finished_ = false;
     std::vector<history_step> steps_;
 };
--- a/azureyoke/src/app/stream_registry.h
+++ b/azureyoke/src/app/stream_registry.h
@@ -22,6 +22,9 @@
     using handler = std::function<void(const answer&)>;
 
     virtual ~stream_registry() = default;
+    /// \returns whether the software versions in the list of servers are those of now. They may not
+    /// be after this process was stopped for a while, since a server can start again under its id.
+    virtual bool versions_are_current() const = 0;
     /// \brief The stream of the request `stream` got its first event from a server of this version;
     /// its caller may take it up again for `remaining`.
     virtual void on_begun(const std::string& stream, const std::string& pool,
--- a/azureyoke/src/app/stream_service.cpp
+++ b/azureyoke/src/app/stream_service.cpp
@@ -23,6 +23,10 @@
 /// Callers take streams up again a little after their time, at most.
 constexpr duration binding_slack = std::chrono::seconds(5);
 constexpr transport::duration store_period = std::chrono::milliseconds(200);
+/// The process was stopped if it did nothing for this long.
+constexpr transport::duration stop_threshold = std::chrono::milliseconds(500);
+/// Time after a stop in which the list of servers is updated.
+constexpr transport::duration update_time = std::chrono::milliseconds(1500);
 constexpr const char* versions_record = "software-versions";
 /// Each instance has a record of its open streams under this prefix.
 constexpr const char* streams_prefix = "streams/";
@@ -65,7 +69,14 @@
     : loop_(loop), settings_(settings), state_(state), peers_(peers), records_(records), log_(log),
       measures_(measures), bindings_({}) {}
 
+bool stream_service::versions_are_current() const {
+    auto now = loop_.now();
+    return now - last_tick_ < internal::stop_threshold &&
+           now - resumed_at_ >= internal::update_time;
+}
+
 void stream_service::start() {
+    last_tick_ = loop_.now();
     read_stored();
     read_streams();
 }
@@ -189,6 +200,9 @@
 
 void stream_service::tick() {
     auto now = loop_.now();
+    if (now - last_tick_ >= internal::stop_threshold)
+        resumed_at_ = now;
+    last_tick_ = now;
     versions_.expire(now);
     bindings_.expire(now);
     if (own_streams_.size() > bindings_.all().size())
@@ -279,6 +293,11 @@
     auto& pending = pending_[number];
     pending.pool = pool;
     pending.done = std::move(done);
+    if (!versions_are_current()) {
+        end_question(number, {std::nullopt, "the servers' software versions may be old here", true},
+                     "old view");
+        return;
+    }
     auto known = bindings_.find(stream, now);
     if (known && known->pool == pool) {
         end_question(number, {known->software, {}, false}, "known");
--- a/azureyoke/src/app/stream_service.h
+++ b/azureyoke/src/app/stream_service.h
@@ -34,6 +34,7 @@
                    forward_state& state, peer_directory& peers, record_store& records,
                    const event_log& log, metrics& measures);
 
+    bool versions_are_current() const override;
     void on_begun(const std::string& stream, const std::string& pool, const std::string& software,
                   coordination::duration remaining) override;
     void on_complete(const std::string& stream) override;
@@ -100,6 +101,8 @@
     bool streams_stored_ = false; ///< The record of this instance is not empty.
     bool transferring_streams_ = false;
     transport::instant next_streams_;
+    transport::instant last_tick_;
+    transport::instant resumed_at_; ///< The last time that the process ran again after a stop.
 };
 
 } // namespace azureyoke::app
--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -161,6 +161,25 @@
     cr_assert_eq(it.fetch_answer().body, "plain");
 }
 
+// Guards against an instance that was stopped and takes a server that started again under its id
+// with another version for the one of before.
+Test(forward_stream, stream_does_not_go_on_where_versions_may_be_old) {
+    for (bool old_at_start : {true, false}) {
+        stream_fixture it;
+        it.set_software("v1", "v1");
+        it.streams.current = !old_at_start;
+        auto& other = it.other_of("q1");
+        it.first_choice_of("q1").script.push_back({head + first_event});
+        auto timer = it.loop.after(std::chrono::milliseconds(50), [&] {
+            it.streams.current = old_at_start;
+            it.first_choice_of("q1").close_all();
+        });
+        cr_assert_eq(it.fetch_answer().status, 0);
+        cr_assert(other.requests.empty());
+        cr_assert_eq(it.streams.begun.size(), old_at_start ? 0U : 1U);
+    }
+}
+
 Test(forward_stream, new_stream_asks_nobody) {
     stream_fixture it;
     it.script({concat({head, first_event, last_chunk})});
--- a/test/scripted_streams.h
+++ b/test/scripted_streams.h
@@ -11,6 +11,8 @@
 /// \brief Replies to each question about a stream as a test decides.
 class scripted_streams : public app::stream_registry {
 public:
+    bool versions_are_current() const override { return current; }
+
     void on_begun(const std::string& stream, const std::string& /*pool*/,
                   const std::string& software, coordination::duration /*remaining*/) override {
         begun.emplace_back(stream, software);
@@ -25,6 +27,7 @@
 
     std::optional<std::string> reply = "";
     bool may_be_found_later = false;
+    bool current = true;
     std::vector<std::string> asked;
     std::vector<std::string> completed;
     std::vector<std::pair<std::string, std::string>> begun;
--- a/test/stream_service_test.cpp
+++ b/test/stream_service_test.cpp
@@ -263,6 +263,23 @@
     cr_assert_eq(it.find(1, "never"), "none");
 }
 
+Test(stream_service, instance_that_was_stopped_finds_no_stream_until_its_list_is_updated) {
+    stream_service_fixture it;
+    auto& stopped = *it.members[1];
+    stopped.streams.on_begun("q", "p", "v1", life);
+    it.wait(50 * ms);
+    stopped.ticks.reset();
+    it.wait(600 * ms);
+    cr_assert_not(stopped.streams.versions_are_current());
+    cr_assert_eq(it.find(1, "q"), "none");
+    cr_assert_eq(it.find(2, "q"), "v1");
+    stopped.ticks = it.loop.every(20 * ms, [&] { stopped.streams.tick(); });
+    it.wait(100 * ms);
+    cr_assert_eq(it.find(1, "q"), "none");
+    it.wait_until([&] { return stopped.streams.versions_are_current(); });
+    cr_assert_eq(it.find(1, "q"), "v1");
+}
+
 Test(stream_service, streams_of_a_leaving_keeper_are_handed_over) {
     stream_service_fixture it;
     it.members[1]->streams.on_begun("q", "p", "v2", life);
