A trial ends with its answer; take-ups are looked up on resumable routes only

Cause: found on reading the diff: a stream whose trial was answered and that went on elsewhere kept its leave, so that a crash then counted as a failed trial; a Last-Event-Id on a route that is not resumable was refused while the pool had several versions; an unreadable record of versions was read and logged five times a second. What stream_service keeps in the store is a file of its own.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -100,8 +100,10 @@
     if (first_answer_seen_)
         return;
     first_answer_seen_ = true;
-    if (success_ && !guarded_parts_.empty())
+    if (success_ && !guarded_parts_.empty()) {
         services_.parts.on_answer(guarded_parts_);
+        trial_part_.clear();
+    }
     auto now = services_.loop.now();
     services_.state.router.on_first_answer(*choice_, now - sent_at_, now);
     first_answer_ms_ = coordination::to_seconds(now - sent_at_) * 1000;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -36,7 +36,8 @@
     deadline_timer_ =
         services_.loop.after(deadline_ - services_.loop.now(), [this] { on_deadline(); });
     services_.state.retry_budget(pool_).on_request(services_.loop.now());
-    if (route_->rule == state::execution_rule::stream && !request_info_.last_event.empty())
+    if (route_->rule == state::execution_rule::stream && route_->resumable &&
+        !request_info_.last_event.empty())
         find_stream();
     else
         dispatch();
@@ -303,7 +304,7 @@
         return false;
     bool may_resume = route_->rule == state::execution_rule::stream && route_->resumable;
     bool repeats = route_->rule == state::execution_rule::repeatable || may_resume;
-    bool begun = !relay_.last_id().empty();
+    bool begun = !relay_.last_id().empty() || !bound_stream_.empty();
     if (begun && (software_unknown_ || !services_.streams.versions_are_current()))
         return false;
     bool safe = exchange_->started() ? may_resume : !may_have_run_ || repeats;
--- a/azureyoke/src/app/stream_service.cpp
+++ b/azureyoke/src/app/stream_service.cpp
@@ -3,14 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "azureyoke/src/app/forward_rules.h"
 
 namespace azureyoke::app {
 
 using coordination::duration;
-using nlohmann::json;
 
 namespace internal {
 namespace {
@@ -22,43 +19,10 @@
 constexpr transport::duration question_timeout = std::chrono::milliseconds(150);
 /// Callers take streams up again a little after their time, at most.
 constexpr duration binding_slack = std::chrono::seconds(5);
-constexpr transport::duration store_period = std::chrono::milliseconds(200);
 /// The process was stopped if it did nothing for this long.
 constexpr transport::duration stop_threshold = std::chrono::milliseconds(500);
 /// Time after a stop in which the list of servers is updated.
 constexpr transport::duration update_time = std::chrono::milliseconds(1500);
-constexpr const char* versions_record = "software-versions";
-/// Each instance has a record of its open streams under this prefix.
-constexpr const char* streams_prefix = "streams/";
-constexpr transport::duration streams_period = std::chrono::milliseconds(100);
-/// Writes of all instances together, so that a large fleet leaves the store to others.
-constexpr double stream_writes_per_second = 80;
-/// Most streams in one record; a record may have 64 KiB.
-constexpr std::size_t max_stored_streams = 1000;
-/// Time for which stored streams are kept after a start.
-constexpr duration stored_stream_time = std::chrono::seconds(30);
-constexpr duration streams_retry = std::chrono::milliseconds(500);
-
-/// Ids of streams by pool and version.
-using stored_streams = std::map<std::string, std::map<std::string, std::vector<std::string>>>;
-
-std::optional<stored_streams> parse_streams(const std::string& text) {
-    try {
-        return json::parse(text).get<stored_streams>();
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
-std::optional<coordination::version_sets> parse_versions(const std::string& text) {
-    if (text.empty())
-        return coordination::version_sets();
-    try {
-        return json::parse(text).get<coordination::version_sets>();
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
 
 } // namespace
 } // namespace internal
@@ -81,104 +45,6 @@
     read_streams();
 }
 
-void stream_service::read_streams() {
-    transferring_streams_ = true;
-    next_streams_ = loop_.now() + internal::streams_retry;
-    records_.list(internal::streams_prefix, [this](auto list) {
-        transferring_streams_ = false;
-        if (!list)
-            return; // tick tries again
-        streams_read_ = true;
-        auto now = loop_.now();
-        for (const auto& record : *list) {
-            auto streams = internal::parse_streams(record.value);
-            if (!streams) {
-                log_.warn(event_id::platform_row_unreadable,
-                          {{"row", record.key}, {"why", "must list streams by pool and version"}});
-                continue;
-            }
-            bool own = record.key == internal::streams_prefix + settings_.instance;
-            streams_stored_ = streams_stored_ || own;
-            for (const auto& [pool, versions] : *streams) {
-                for (const auto& [software, ids] : versions) {
-                    for (const auto& id : ids) {
-                        bindings_.add(id, {pool, software, now + internal::stored_stream_time},
-                                      now);
-                        if (own)
-                            own_streams_.insert(id);
-                    }
-                }
-            }
-        }
-    });
-}
-
-void stream_service::write_streams() {
-    internal::stored_streams streams;
-    std::size_t count = 0;
-    for (auto it = own_streams_.begin(); it != own_streams_.end();) {
-        auto binding = bindings_.find(*it, loop_.now());
-        if (!binding) {
-            it = own_streams_.erase(it);
-            continue;
-        }
-        if (has_several_versions(binding->pool) && ++count <= internal::max_stored_streams)
-            streams[binding->pool][binding->software].push_back(*it);
-        ++it;
-    }
-    if (streams.empty() && !streams_stored_)
-        return;
-    own_streams_changed_ = false;
-    streams_stored_ = !streams.empty();
-    transferring_streams_ = true;
-    auto done = [this](auto result, const auto& /*version*/) {
-        transferring_streams_ = false;
-        if (result != coordination::write_result::written)
-            own_streams_changed_ = true;
-    };
-    records_.write(internal::streams_prefix + settings_.instance, std::nullopt,
-                   json(streams).dump(), done);
-}
-
-void stream_service::read_stored() {
-    storing_ = true;
-    next_store_ = loop_.now() + internal::store_period;
-    records_.read(internal::versions_record, [this](auto record) {
-        storing_ = false;
-        if (!record)
-            return; // tick tries again
-        auto stored = internal::parse_versions(record->value);
-        if (!stored) {
-            log_.warn(event_id::platform_row_unreadable,
-                      {{"row", internal::versions_record},
-                       {"why", "must be an object of lists of versions"}});
-            return;
-        }
-        if (!versions_.complete())
-            versions_.add_stored(*stored, loop_.now());
-        stored_ = std::move(*stored);
-        if (peers_.rank(loop_.now()) == 0 && *stored_ != versions_.all())
-            write_stored(record->version);
-    });
-}
-
-void stream_service::write_stored(const state::record_version& version) {
-    storing_ = true;
-    auto written = versions_.all();
-    records_.write(internal::versions_record, version, json(written).dump(),
-                   [this, written](auto result, const auto& /*version*/) {
-                       storing_ = false;
-                       if (result == coordination::write_result::written)
-                           stored_ = written;
-                       else
-                           stored_.reset(); // somebody else wrote it, or it is not known
-                   });
-}
-
-void stream_service::on_registry_era() {
-    stored_.reset();
-}
-
 void stream_service::on_fleet_changed() {
     if (state_.policy.policy == nullptr)
         return;
@@ -223,22 +89,7 @@
         hand_over(streams, {});
         own_streams_changed_ = true;
     }
-    auto instances = static_cast<double>(peers_.count(now).all);
-    if (!transferring_streams_ && now >= next_streams_) {
-        if (!streams_read_)
-            read_streams();
-        else if (own_streams_changed_ || (streams_stored_ && mixed_pools_.empty())) {
-            write_streams();
-            next_streams_ = now + std::max(internal::streams_period,
-                                           coordination::from_seconds(
-                                               instances / internal::stream_writes_per_second));
-        }
-    }
-    if (storing_ || now < next_store_)
-        return;
-    bool leads = peers_.rank(now) == 0;
-    if (!versions_.complete() || (leads && (!stored_ || *stored_ != versions_.all())))
-        read_stored();
+    exchange_with_store();
 }
 
 void stream_service::hand_over(const std::vector<kept_stream>& streams,
--- a/azureyoke/src/app/stream_service.h
+++ b/azureyoke/src/app/stream_service.h
@@ -66,8 +66,9 @@
         std::unique_ptr<transport::timer> timeout;
     };
 
+    /// Reads and writes the records that are due.
+    void exchange_with_store();
     void read_stored();
-    void store();
     void write_stored(const state::record_version& version);
     void read_streams();
     void write_streams();
--- a/test/forward_part_test.cpp
+++ b/test/forward_part_test.cpp
@@ -63,6 +63,21 @@
     cr_assert(it.guard.lost.front().parts == named_parts);
 }
 
+// A crash after the trial was answered must not count as a failed trial.
+Test(forward_part, answered_trial_is_over_when_its_stream_goes_on_elsewhere) {
+    auto route = forward_fixture::route(execution_rule::stream, 3);
+    route.resumable = true;
+    forward_fixture it(route);
+    it.guard.assessment = {verdict::trial, "p/x", {}};
+    it.guard.grants_trials = true;
+    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "11\r\nid: 1\ndata: one\n\n\r\n",
+               true});
+    it.script({"", true});
+    (void)it.fetch_answer(with_part);
+    cr_assert_geq(it.guard.asked.size(), 2U, "the second send needs leave of its own");
+}
+
 Test(forward_part, request_lost_in_two_crashes_is_not_sent_again) {
     part_fixture it;
     it.script({"", true});
--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -180,6 +180,21 @@
     }
 }
 
+Test(forward_stream, route_that_is_not_resumable_looks_up_no_stream) {
+    stream_fixture it;
+    auto route = stream_fixture::resumable_route();
+    route.resumable = false;
+    route.path_prefix = "/n/";
+    auto policy = std::make_shared<const state::traffic_policy>(
+        2, std::vector{route}, std::vector<state::server_pool>{{"p", 0, 0, {}, {}}},
+        std::vector<state::forward_workspace>(), state::caller_bounds());
+    (void)it.state->set_policy({policy, ""}, it.loop.now());
+    it.streams.reply = std::nullopt;
+    it.script({concat({head, second_event, last_chunk})});
+    cr_assert_eq(it.fetch_answer(take_up, "/n/x").status, 200);
+    cr_assert(it.streams.asked.empty());
+}
+
 Test(forward_stream, new_stream_asks_nobody) {
     stream_fixture it;
     it.script({concat({head, first_event, last_chunk})});
