A take-up that waited for a permit is sent only to the version of its stream

The server is chosen by its software version, but the request may then wait for a permit of a server that limits its rate. A server that started again under its id with another version meanwhile, or an instance that was stopped in that time, sent the rest of the stream to the other version. A take-up whose caller named no attempt was retried after a stop, too. Change: send_request looks at the version of the server once more; what goes on with a stream is one predicate, continues_stream.

--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -36,8 +36,7 @@
     deadline_timer_ =
         services_.loop.after(deadline_ - services_.loop.now(), [this] { on_deadline(); });
     services_.state.retry_budget(pool_).on_request(services_.loop.now());
-    if (route_->rule == state::execution_rule::stream && route_->resumable &&
-        !request_info_.last_event.empty())
+    if (takes_up_stream())
         find_stream();
     else
         dispatch();
@@ -213,9 +212,11 @@
     const auto* server = services_.state.directory.find(choice_->server);
     auto address = transport::parse_address(server == nullptr ? "" : server->address);
     if (!address) {
-        query_.excluded.push_back(choice_->server);
-        choice_.reset();
-        retry_or_refuse("server has no usable address");
+        pass_over_choice("server has no usable address");
+        return;
+    }
+    if (continues_stream() && !may_continue_at(*server)) {
+        pass_over_choice("server may have another software version now");
         return;
     }
     const auto& original = exchange_->request();
@@ -254,6 +255,13 @@
         check_event_gap();
 }
 
+void forward_session::pass_over_choice(const std::string& why) {
+    last_server_ = choice_->server;
+    query_.excluded.push_back(last_server_);
+    choice_.reset();
+    retry_or_refuse(why);
+}
+
 void forward_session::check_event_gap() {
     auto self = shared_from_this();
     auto limit = coordination::from_seconds(max_event_gap_ms(*route_) / 1000);
@@ -304,8 +312,7 @@
         return false;
     bool may_resume = route_->rule == state::execution_rule::stream && route_->resumable;
     bool repeats = route_->rule == state::execution_rule::repeatable || may_resume;
-    bool begun = !relay_.last_id().empty() || !bound_stream_.empty();
-    if (begun && (software_unknown_ || !services_.streams.versions_are_current()))
+    if (continues_stream() && (software_unknown_ || !services_.streams.versions_are_current()))
         return false;
     bool safe = exchange_->started() ? may_resume : !may_have_run_ || repeats;
     auto& state = services_.state;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -41,7 +41,11 @@
     bool admit();
     bool authenticate();
     bool charge_rate_limit();
-    /// The caller takes up a stream: finds out on which software version it began.
+    /// Whether the caller takes up a stream that broke off.
+    bool takes_up_stream() const;
+    /// Whether the caller has events of the stream, from this answer or an earlier one.
+    bool continues_stream() const;
+    /// Finds out on which software version the stream that is taken up began.
     void find_stream();
     void on_stream_found(const stream_registry::answer& found);
     void dispatch();
@@ -58,8 +62,13 @@
     void request_permit();
     void on_permit(const coordination::server_choice& choice, bool granted);
     void send_request();
+    /// Looks for another server than the chosen one, to which nothing was sent.
+    void pass_over_choice(const std::string& why);
     /// The stream of the request `stream` may go on at servers of this software version only.
     void bind_stream(const std::string& stream, const std::string& software);
+    /// Whether the server still has the software version that the stream is bound to. It may have
+    /// changed while the request waited for a permit.
+    bool may_continue_at(const state::fleet_server& server) const;
     void log_resumption(const std::string& software) const;
     forward_directive make_directive() const;
     /// Address of the cache store; empty when no pool has one.
--- a/azureyoke/src/app/forward_stream.cpp
+++ b/azureyoke/src/app/forward_stream.cpp
@@ -5,6 +5,19 @@
 
 namespace azureyoke::app {
 
+bool forward_session::takes_up_stream() const {
+    return route_->rule == state::execution_rule::stream && route_->resumable &&
+           !request_info_.last_event.empty();
+}
+
+bool forward_session::continues_stream() const {
+    return takes_up_stream() || !relay_.last_id().empty() || !bound_stream_.empty();
+}
+
+bool forward_session::may_continue_at(const state::fleet_server& server) const {
+    return server.software == stream_software_ && services_.streams.versions_are_current();
+}
+
 void forward_session::find_stream() {
     services_.streams.find(
         request_info_.resumed_request, pool_,
--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -23,6 +23,7 @@
 }
 
 const transport::http_fields take_up = {{"id", "q2"}, {"last", "1"}, {"resumes", "q1"}};
+const transport::http_fields nameless_take_up = {{"id", "q2"}, {"last", "1"}};
 
 struct stream_fixture : forward_fixture {
     stream_fixture() : forward_fixture(resumable_route()) {}
@@ -180,6 +181,82 @@
     }
 }
 
+// Guards against a take-up that waits for a permit and is sent to a server that has meanwhile
+// started again under its id with another version.
+Test(forward_stream, take_up_is_not_sent_to_a_server_that_changed_its_version_during_the_wait) {
+    stream_fixture it;
+    it.set_software("v1", "v1");
+    it.streams.reply = "v1";
+    it.permits.limited = {"a", "b"};
+    it.permits.holds_requests = true;
+    auto& changed = it.first_choice_of("q2");
+    it.other_of("q2").script.push_back({concat({head, second_event, last_chunk})});
+    auto timer = it.loop.after(std::chrono::milliseconds(50), [&] {
+        bool is_first = &changed == &it.first;
+        it.set_software(is_first ? "v2" : "v1", is_first ? "v1" : "v2");
+        it.permits.holds_requests = false;
+        it.permits.permits = 1;
+        it.permits.held.front()(true);
+    });
+    cr_assert_eq(it.fetch_answer(take_up).status, 200);
+    cr_assert(changed.requests.empty());
+}
+
+Test(forward_stream, take_up_is_not_sent_where_versions_became_old_during_the_wait) {
+    for (const auto& fields : {take_up, nameless_take_up}) {
+        stream_fixture it;
+        it.set_software("v1", "v1");
+        it.streams.reply = "v1";
+        it.script({concat({head, second_event, last_chunk})});
+        it.permits.limited = {"a", "b"};
+        it.permits.holds_requests = true;
+        auto timer = it.loop.after(std::chrono::milliseconds(50), [&] {
+            it.streams.current = false;
+            it.permits.held.front()(true);
+        });
+        cr_assert_eq(it.fetch_answer(fields).status, 503);
+        cr_assert_eq(it.requests_received(), 0U);
+    }
+}
+
+Test(forward_stream, take_up_that_broke_off_does_not_go_on_where_versions_may_be_old) {
+    for (const auto& fields : {take_up, nameless_take_up}) {
+        stream_fixture it;
+        it.set_software("v1", "v1");
+        it.streams.reply = "v1";
+        auto timer = it.loop.after(std::chrono::milliseconds(50), [&] {
+            it.streams.current = false;
+            it.first_choice_of("q2").close_all();
+        });
+        auto& other = it.other_of("q2");
+        cr_assert_eq(it.fetch_answer(fields).status, 502);
+        cr_assert(other.requests.empty());
+    }
+}
+
+Test(forward_stream, take_up_without_a_name_is_looked_up_and_binds_nothing) {
+    stream_fixture it;
+    it.set_software("v1", "v2");
+    it.streams.reply = "v2";
+    it.script({concat({head, second_event, last_chunk})});
+    cr_assert_eq(it.fetch_answer(nameless_take_up).status, 200);
+    cr_assert_eq(it.streams.asked, std::vector<std::string>{""});
+    cr_assert_eq(it.second.requests.size(), 1U);
+    cr_assert(it.streams.begun.empty());
+}
+
+Test(forward_stream, stream_that_is_taken_up_twice_goes_on_at_its_version_both_times) {
+    stream_fixture it;
+    it.set_software("v1", "v2");
+    it.streams.reply = "v2";
+    it.script({concat({head, second_event, last_chunk})});
+    it.script({concat({head, second_event, last_chunk})});
+    for (const char* id : {"q2", "q3"})
+        cr_assert_eq(it.fetch_answer({{"id", id}, {"last", "1"}, {"resumes", "q1"}}).status, 200);
+    cr_assert(it.first.requests.empty());
+    cr_assert_eq(it.second.requests.size(), 2U);
+}
+
 Test(forward_stream, route_that_is_not_resumable_looks_up_no_stream) {
     stream_fixture it;
     auto route = stream_fixture::resumable_route();
