Test: a stream that meets an error at the next server does not look complete

Change: a server that answers 500, unsigned or with bytes that are no answer. The test sees that the stream is not complete; it can't see what bytes the caller got before the connection was aborted.

--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -148,6 +148,22 @@
     }
 }
 
+// Guards against an error of the next server in the middle of a stream.
+Test(forward_stream, stream_that_meets_an_error_elsewhere_does_not_look_complete) {
+    for (const auto* error :
+         {"HTTP/1.1 500 E\r\nid: ID\r\nstamp: 1\r\nContent-Length: 5\r\n\r\nerror",
+          "HTTP/1.1 200 OK\r\nid: ID\r\nContent-Length: 5\r\n\r\nerror", "error\r\n\r\n"}) {
+        stream_fixture it;
+        it.set_software("v1", "v1");
+        auto& other = it.other_of("q1");
+        it.first_choice_of("q1").script.push_back({head + first_event, true});
+        for (int i = 0; i < 3; ++i)
+            other.script.push_back({error, true});
+        cr_assert_eq(it.fetch_answer().status, 0, "the caller must see that the stream broke off");
+        cr_assert_geq(other.requests.size(), 1U);
+    }
+}
+
 Test(forward_stream, unframed_stream_that_ends_after_an_event_is_complete) {
     stream_fixture it;
     it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\n\r\nid: 1\ndata: one\n\n", true});
