Logs tell where a configuration came from and what its transfer and reading took

Cause: a late configuration leaves no line that tells a cut transfer, a busy peer and slow parsing apart. Change: configuration_accepted (2001) names source, bytes, time to read and time behind the peers; configuration_transfer_failed (2008) names a peer that did not send it; a timeout tells how many bytes had arrived.

--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -22,6 +22,7 @@
     platform_reached = 2005,
     weights_named = 2006,
     registry_era = 2007,
+    configuration_transfer_failed = 2008,
     request_finished = 3001,
     request_refused = 3002,
     attempt_failed = 3003,
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -118,11 +118,22 @@
 }
 
 void forward_instance::on_policy(const policy_copy& copy) {
+    take_policy(copy, "registry");
+}
+
+void forward_instance::take_policy(const policy_copy& copy, const std::string& source) {
     if (!state_.set_policy(copy, loop_.now()))
         return;
     callers_.set_limits(internal::limits_of(copy.policy->bounds()));
+    using std::chrono::milliseconds;
+    auto named_at = std::exchange(newer_policy_named_at_, std::nullopt);
+    auto behind = named_at ? loop_.now() - *named_at : transport::duration(0);
     log_.write(event_id::configuration_accepted,
-               {{"version", std::to_string(copy.policy->version())}});
+               {{"version", std::to_string(copy.policy->version())},
+                {"source", source},
+                {"bytes", std::to_string(copy.text.size())},
+                {"read_us", std::to_string(copy.read_time.count())},
+                {"behind_ms", std::to_string(behind / milliseconds(1))}});
     streams_.on_fleet_changed();
     peers_.send_now();
 }
@@ -267,6 +278,8 @@
     for (const auto& it : report.placed)
         state_.router.on_peer_placed(it, now);
     auto own_version = state_.policy.policy ? state_.policy.policy->version() : 0;
+    if (report.policy_version > own_version && !newer_policy_named_at_)
+        newer_policy_named_at_ = now;
     if (report.policy_version > own_version && policy_timer_ == nullptr)
         policy_timer_ = loop_.after(internal::policy_fetch_delay, [this] { fetch_policy(); });
 }
@@ -280,14 +293,21 @@
     }
     transport::http_request request{"GET", "/policy", {{"Host", transport::to_string(*from)}}, {}};
     transport::fetch(loop_, backends_, *from, request, internal::policy_fetch_timeout,
-                     [this](auto answer) {
+                     [this, own_version, peer = transport::to_string(*from)](auto answer) {
                          policy_timer_.reset();
-                         if (!answer || answer->status != 200)
-                             return; // the next report triggers another attempt
+                         if (!answer || answer->status != 200) {
+                             // The next report triggers another attempt.
+                             log_.warn(event_id::configuration_transfer_failed,
+                                       {{"peer", peer},
+                                        {"version", std::to_string(own_version)},
+                                        {"why", answer ? "status " + std::to_string(answer->status)
+                                                       : answer.error().what}});
+                             return;
+                         }
                          std::string why;
                          auto copy = dependencies_.registry.read_policy(answer->body, why);
                          if (copy)
-                             on_policy(*copy);
+                             take_policy(*copy, peer);
                          else
                              on_unreadable_row("policy received from a peer", why);
                      });
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -60,6 +60,8 @@
 
     peer_report report(peer_directory::report_scope scope);
     void on_peer_report(const peer_report& report);
+    /// `source` names the registry or the peer that sent the policy.
+    void take_policy(const policy_copy& copy, const std::string& source);
     void fetch_policy();
     void housekeeping();
     /// Creates the answer to a request that could not be parsed.
@@ -89,6 +91,7 @@
     transport::front_server operators_;
     std::unique_ptr<transport::timer> housekeeping_timer_;
     std::unique_ptr<transport::timer> policy_timer_;
+    std::optional<transport::instant> newer_policy_named_at_; ///< By a peer.
     std::unique_ptr<transport::timer> drain_timer_;
     bool registry_reachable_ = false;
     std::int64_t registry_era_ = 0; ///< The last era reported; 0 before the first.
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "azureyoke/src/coordination/time.h"
 #include "azureyoke/src/coordination/weights_rollout.h"
 #include "azureyoke/src/coordination/write_result.h"
 #include "azureyoke/src/state/fleet_server.h"
@@ -21,6 +22,7 @@
 struct policy_copy {
     std::shared_ptr<const state::traffic_policy> policy;
     std::string text;
+    coordination::duration read_time{}; ///< Time that parsing and checking took.
 };
 
 /// \brief Receives changes from a fleet's registry. Called on the event loop.
--- a/azureyoke/src/transport/backend_fetch.cpp
+++ b/azureyoke/src/transport/backend_fetch.cpp
@@ -14,7 +14,11 @@
     void start(backend_pool& pool, const address& to, const http_request& request,
                duration timeout) {
         timer_ = loop_.after(timeout, [this] {
-            finish(tl::unexpected(error{errc::timed_out, "no answer in time", true}));
+            finish(tl::unexpected(error{errc::timed_out,
+                                        "no complete answer in time, " +
+                                            std::to_string(answer_.body.size()) +
+                                            " bytes of its body were received",
+                                        true}));
         });
         call_ = pool.send(to, request, true, shared_from_this());
     }
