--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -23,6 +23,7 @@
     std::shared_ptr<const state::traffic_policy> policy;
     std::string text;
     coordination::duration read_time{}; ///< Time that parsing and checking took.
+    std::size_t parsed_elements = 0;    ///< Routes and workspaces that were not known before.
 };
 
 /// \brief Receives changes from a fleet's registry. Called on the event loop.
