Peers hand on what changed in the configuration, each asked at random

What callers saw: 401 and 404 from instances that lacked a version more than 3 s after its acknowledgement. Cause: an instance that lagged read the whole document from the first peer by name, as did all others, within 0.8 s; what was cut was read again, beside the store's own answer, on the same narrow link. Change: policy_catch_up (pure) decides when to ask whom: a random peer of the own data centre that has the version, for the changes since the own version; for the whole only when the store does not send it, and of a peer that sends one at a time. policy_service carries it out. While a peer names a newer version, an unknown route or key gets 503 instead of 404 or 401.

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "azureyoke/src/app/wall_clock.h"
-#include "azureyoke/src/transport/backend_fetch.h"
 
 namespace azureyoke::app {
 
@@ -14,9 +13,6 @@
 /// Number of requests whose traces are kept for `azureyoke explain`.
 constexpr std::size_t max_traces = 2000;
 constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
-/// Time given to the registry to deliver a policy before it is fetched from a peer.
-constexpr transport::duration policy_fetch_delay = std::chrono::milliseconds(150);
-constexpr transport::duration policy_fetch_timeout = std::chrono::milliseconds(800);
 /// The policy may be old after neither this instance nor a peer reached the registry for this long.
 constexpr transport::duration stale_policy_timeout = std::chrono::milliseconds(1500);
 constexpr transport::duration drain_check_period = std::chrono::milliseconds(50);
@@ -53,6 +49,8 @@
               return permits_.on_datagram(bytes) || parts_.on_datagram(bytes) ||
                      streams_.on_datagram(bytes);
           }),
+      policies_(loop, state_, peers_, dependencies_.registry, backends_, log_, log_limiter_,
+                metrics_, incarnation_, [this](const auto& it) { on_new_policy(it); }),
       permits_(loop, settings_, state_, peers_, log_, log_limiter_, metrics_),
       parts_(loop, settings_, peers_, log_, log_limiter_, metrics_),
       streams_(loop, settings_, state_, peers_, dependencies_.records, log_, metrics_),
@@ -73,8 +71,8 @@
           [this](const auto& exchange) {
               exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
           }),
-      pages_({settings_, loop_, metrics_, history_, state_, peers_, permits_, parts_, weights_,
-              [this] { return ready(); }, [this] { return draining_; },
+      pages_({settings_, loop_, metrics_, history_, state_, peers_, policies_, permits_, parts_,
+              weights_, [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }, [this] { return registry_era_; }}),
       operators_(loop, {}, [this](const auto& exchange) {
           exchange->reply(pages_.page(transport::path_of(exchange->request().target)));
@@ -118,22 +116,11 @@
 }
 
 void forward_instance::on_policy(const policy_copy& copy) {
-    take_policy(copy, "registry");
+    policies_.on_registry_policy(copy);
 }
 
-void forward_instance::take_policy(const policy_copy& copy, const std::string& source) {
-    if (!state_.set_policy(copy, loop_.now()))
-        return;
+void forward_instance::on_new_policy(const policy_copy& copy) {
     callers_.set_limits(internal::limits_of(copy.policy->bounds()));
-    using std::chrono::milliseconds;
-    auto named_at = std::exchange(newer_policy_named_at_, std::nullopt);
-    auto behind = named_at ? loop_.now() - *named_at : transport::duration(0);
-    log_.write(event_id::configuration_accepted,
-               {{"version", std::to_string(copy.policy->version())},
-                {"source", source},
-                {"bytes", std::to_string(copy.text.size())},
-                {"read_us", std::to_string(copy.read_time.count())},
-                {"behind_ms", std::to_string(behind / milliseconds(1))}});
     streams_.on_fleet_changed();
     peers_.send_now();
 }
@@ -277,40 +264,7 @@
         state_.router.on_peer_work(report.instance, *report.work, now);
     for (const auto& it : report.placed)
         state_.router.on_peer_placed(it, now);
-    auto own_version = state_.policy.policy ? state_.policy.policy->version() : 0;
-    if (report.policy_version > own_version && !newer_policy_named_at_)
-        newer_policy_named_at_ = now;
-    if (report.policy_version > own_version && policy_timer_ == nullptr)
-        policy_timer_ = loop_.after(internal::policy_fetch_delay, [this] { fetch_policy(); });
-}
-
-void forward_instance::fetch_policy() {
-    auto own_version = state_.policy.policy ? state_.policy.policy->version() : 0;
-    auto from = peers_.find_newer_policy(own_version, loop_.now());
-    if (!from) {
-        policy_timer_.reset();
-        return;
-    }
-    transport::http_request request{"GET", "/policy", {{"Host", transport::to_string(*from)}}, {}};
-    transport::fetch(loop_, backends_, *from, request, internal::policy_fetch_timeout,
-                     [this, own_version, peer = transport::to_string(*from)](auto answer) {
-                         policy_timer_.reset();
-                         if (!answer || answer->status != 200) {
-                             // The next report triggers another attempt.
-                             log_.warn(event_id::configuration_transfer_failed,
-                                       {{"peer", peer},
-                                        {"version", std::to_string(own_version)},
-                                        {"why", answer ? "status " + std::to_string(answer->status)
-                                                       : answer.error().what}});
-                             return;
-                         }
-                         std::string why;
-                         auto copy = dependencies_.registry.read_policy(answer->body, why);
-                         if (copy)
-                             take_policy(*copy, peer);
-                         else
-                             on_unreadable_row("policy received from a peer", why);
-                     });
+    policies_.on_peer(report.policy_version);
 }
 
 void forward_instance::housekeeping() {
@@ -325,6 +279,7 @@
     state_.policy_may_be_old =
         !registry_reached_lately && now - registry_lost_at_ >= internal::stale_policy_timeout;
     state_.router.expire_peers(now);
+    policies_.tick();
     permits_.tick();
     parts_.tick();
     streams_.tick();
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -8,6 +8,7 @@
 #include "azureyoke/src/app/part_service.h"
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
+#include "azureyoke/src/app/policy_service.h"
 #include "azureyoke/src/app/stream_service.h"
 #include "azureyoke/src/app/weights_service.h"
 
@@ -47,6 +48,8 @@
 
 private:
     void on_policy(const policy_copy& copy) override;
+    /// A newer policy has come into force.
+    void on_new_policy(const policy_copy& copy);
     void on_desired_weights(const std::string& model, std::int64_t version,
                             bool time_known) override;
     void update_desired_weights(const std::string& model, std::int64_t version,
@@ -60,9 +63,6 @@
 
     peer_report report(peer_directory::report_scope scope);
     void on_peer_report(const peer_report& report);
-    /// `source` names the registry or the peer that sent the policy.
-    void take_policy(const policy_copy& copy, const std::string& source);
-    void fetch_policy();
     void housekeeping();
     /// Creates the answer to a request that could not be parsed.
     transport::http_response refuse_unparsed(transport::front_refusal why);
@@ -80,6 +80,7 @@
     transport::backend_pool backends_;
     forward_state state_;
     peer_directory peers_;
+    policy_service policies_;
     permit_service permits_;
     part_service parts_;
     stream_service streams_;
@@ -90,8 +91,6 @@
     forward_pages pages_;
     transport::front_server operators_;
     std::unique_ptr<transport::timer> housekeeping_timer_;
-    std::unique_ptr<transport::timer> policy_timer_;
-    std::optional<transport::instant> newer_policy_named_at_; ///< By a peer.
     std::unique_ptr<transport::timer> drain_timer_;
     bool registry_reachable_ = false;
     std::int64_t registry_era_ = 0; ///< The last era reported; 0 before the first.
--- a/azureyoke/src/app/forward_pages.cpp
+++ b/azureyoke/src/app/forward_pages.cpp
@@ -62,9 +62,8 @@
 
 http_response forward_pages::page(std::string_view path) const {
     constexpr std::string_view explain_path = "/explain/";
-    const auto& policy = sources_.state.policy;
-    if (path == "/policy" && policy.policy != nullptr)
-        return {200, internal::json_fields, policy.text};
+    if (auto page = sources_.policies.page(path))
+        return std::move(*page);
     if (path == "/metrics")
         return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, sources_.metrics.render()};
     if (path == "/status")
@@ -84,6 +83,7 @@
     page["draining"] = sources_.draining();
     page["policy"] = state.policy.policy ? state.policy.policy->version() : 0;
     page["policy_may_be_old"] = state.policy_may_be_old;
+    page["newer_policy_exists"] = state.newer_policy_exists;
     page["registry_reachable"] = sources_.registry_reachable();
     page["registry_era"] = sources_.registry_era();
     page["instances"] = sources_.peers.live(now);
--- a/azureyoke/src/app/forward_pages.h
+++ b/azureyoke/src/app/forward_pages.h
@@ -8,6 +8,7 @@
 #include "azureyoke/src/app/part_service.h"
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
+#include "azureyoke/src/app/policy_service.h"
 #include "azureyoke/src/app/weights_service.h"
 #include "azureyoke/src/transport/http_message.h"
 
@@ -21,6 +22,7 @@
     const request_history& history;
     forward_state& state;
     const peer_directory& peers;
+    policy_service& policies;
     permit_service& permits;
     const part_service& parts;
     const weights_service& weights;
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -56,6 +56,8 @@
     virtual void note_era(std::int64_t era) = 0;
     /// \returns the newest known era; 0 before the first answer, or when the registry has no eras.
     virtual std::int64_t era() const = 0;
+    /// \returns whether a changed policy, or another change of the operators, is being received.
+    virtual bool receiving_policy() const = 0;
     /// \returns nothing, and the reason in `why`, when the text is not a valid policy.
     virtual std::optional<policy_copy> read_policy(const std::string& text, std::string& why) = 0;
 };
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -47,11 +47,10 @@
         refuse(503, "this instance holds no policy yet", retry_after_start_s);
         return false;
     }
-    bool policy_may_be_old = services_.state.policy_may_be_old;
     route_ =
         policy_->find_route(request_info_.host, transport::path_of(exchange_->request().target));
     if (route_ == nullptr) {
-        if (policy_may_be_old)
+        if (services_.state.may_lack_entries())
             refuse(503, "no known route matches, and the policy may be old", retry_after_start_s);
         else
             refuse(404, "no route of host \"" + request_info_.host + "\" matches the path");
@@ -83,7 +82,7 @@
     workspace_ = policy_->find_workspace(request_info_.key);
     if (workspace_ != nullptr)
         return true;
-    if (services_.state.policy_may_be_old)
+    if (services_.state.may_lack_entries())
         refuse(503, "the key is not known, and the policy may be old", retry_after_start_s);
     else
         refuse(401, "the key belongs to no workspace");
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -41,10 +41,15 @@
     /// \returns the desired weights of a model, or null when none are known.
     const coordination::desired_weights* find_desired_weights(const std::string& model) const;
 
+    /// \returns whether a route or key that the policy lacks may exist all the same.
+    bool may_lack_entries() const { return policy_may_be_old || newer_policy_exists; }
+
     policy_copy policy;
     /// Neither the registry nor a peer that reaches it has responded within the timeout: an unknown
     /// route or key may exist in a newer policy.
     bool policy_may_be_old = false;
+    /// A responsive peer has a newer policy, in which an unknown route or key may exist.
+    bool newer_policy_exists = false;
     coordination::fleet_directory directory;
     coordination::fleet_router router;
     coordination::server_limits server_limits;
--- a/azureyoke/src/app/peer_directory.cpp
+++ b/azureyoke/src/app/peer_directory.cpp
@@ -245,17 +245,31 @@
     return std::nullopt;
 }
 
-std::optional<transport::address> peer_directory::find_newer_policy(std::int64_t version,
-                                                                    transport::instant now) const {
+std::int64_t peer_directory::newest_policy(transport::instant now) const {
+    std::int64_t newest = 0;
     for (const auto& [name, it] : peers_) {
-        if (it.last_report.policy_version <= version ||
-            now - it.received_at > internal::unresponsive_timeout)
-            continue;
-        auto at = transport::parse_address(it.last_report.operators);
-        if (at)
-            return *at;
+        if (now - it.received_at <= internal::unresponsive_timeout)
+            newest = std::max(newest, it.last_report.policy_version);
     }
-    return std::nullopt;
+    return newest;
+}
+
+std::vector<coordination::policy_source>
+peer_directory::policy_sources(transport::instant now) const {
+    std::vector<coordination::policy_source> list;
+    for (const auto& [name, it] : peers_) {
+        if (now - it.received_at <= internal::unresponsive_timeout)
+            list.push_back({name, in_own_data_centre(it), it.last_report.policy_version});
+    }
+    return list;
+}
+
+std::optional<transport::address> peer_directory::operators_of(const std::string& instance) const {
+    auto found = peers_.find(instance);
+    if (found == peers_.end())
+        return std::nullopt;
+    auto at = transport::parse_address(found->second.last_report.operators);
+    return at ? std::optional(*at) : std::nullopt;
 }
 
 } // namespace azureyoke::app
--- a/azureyoke/src/app/peer_directory.h
+++ b/azureyoke/src/app/peer_directory.h
@@ -11,6 +11,7 @@
 #include "azureyoke/src/app/forward_ports.h"
 #include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/app/peer_report.h"
+#include "azureyoke/src/coordination/policy_catch_up.h"
 #include "azureyoke/src/transport/datagram_socket.h"
 
 namespace azureyoke::app {
@@ -73,9 +74,12 @@
     std::ptrdiff_t rank(transport::instant now) const;
     /// \returns the responsive peer that last reported to hold the weights lease.
     std::optional<std::string> lease_holder(transport::instant now) const;
-    /// \returns the operator address of a peer with a policy newer than `version`.
-    std::optional<transport::address> find_newer_policy(std::int64_t version,
-                                                        transport::instant now) const;
+    /// \returns the newest version of the policy that a responsive peer has; 0 without one.
+    std::int64_t newest_policy(transport::instant now) const;
+    /// \returns the responsive peers with the versions of their policies.
+    std::vector<coordination::policy_source> policy_sources(transport::instant now) const;
+    /// \returns the operator address of a peer; nothing when it is not known.
+    std::optional<transport::address> operators_of(const std::string& instance) const;
 
 private:
     struct peer {
