--- a/test/forward_session_test.cpp
+++ b/test/forward_session_test.cpp
@@ -220,6 +220,17 @@
     cr_assert_eq(it.fetch_answer({{"id", "q"}, {"key", "new"}}).status, 503);
 }
 
+// Guards against 404 and 401 from an instance that is behind its peers.
+Test(forward_session,
+     instance_with_an_older_policy_than_a_peer_answers_503_to_unknown_paths_and_keys) {
+    auto route = forward_fixture::route(execution_rule::once, 1);
+    route.allows_no_key = false;
+    forward_fixture it(route);
+    it.state->newer_policy_exists = true;
+    cr_assert_eq(it.fetch_answer({{"id", "q"}}, "/x/").status, 503);
+    cr_assert_eq(it.fetch_answer({{"id", "q"}, {"key", "new"}}).status, 503);
+}
+
 Test(forward_session, unanswered_request_ends_at_its_deadline_and_is_not_reported_as_not_run) {
     forward_fixture it(forward_fixture::route(execution_rule::once, 1));
     cr_assert_eq(it.fetch_answer({{"id", "q"}, {"deadline", "200"}}).status, 504);
