A request that crashes servers is known when it comes again

Cause: only the parts of prompts that requests share were guarded; a request with nothing in common was known for one attempt. Change: a request has a name of its path, caller and body, and is guarded as a part is, with longer blocks.

--- a/azureyoke/src/app/forward_guard.cpp
+++ b/azureyoke/src/app/forward_guard.cpp
@@ -41,7 +41,7 @@
     ++lost_sends_;
     const auto* server = services_.state.directory.find(last_server_);
     auto address = transport::parse_address(server == nullptr ? "" : server->address);
-    if (guarded_parts_.empty() || !address)
+    if (!address)
         return;
     services_.parts.on_lost(
         {last_server_, last_started_ms_, *address, guarded_parts_, std::exchange(trial_part_, {})},
@@ -54,7 +54,7 @@
 void forward_session::refuse_suspected(const std::string& part, coordination::duration wait) {
     services_.measures.count("azureyoke_part_refusals_total", "pool", pool_);
     auto seconds = std::max(coordination::to_seconds(wait), min_retry_after_s);
-    refuse(may_have_run_ ? 502 : 503, "prompt part \"" + part + "\" may crash backend servers",
+    refuse(may_have_run_ ? 502 : 503, "requests with \"" + part + "\" may crash backend servers",
            bounded_retry_after(seconds));
 }
 
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -70,6 +70,8 @@
     query_.max_connections = pool == nullptr ? 0 : pool->max_connections;
     query_.parts = request_info_.parts;
     guarded_parts_ = guarded_parts(pool_, request_info_.parts);
+    guarded_parts_.push_back(
+        name_of_request(exchange_->request(), request_info_.host, request_info_.key));
     query_.number = static_cast<std::int64_t>(std::hash<std::string>()(request_info_.request_id));
     if (workspace_ != nullptr && workspace_->isolated)
         query_.cache_salt = workspace_->name;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -144,7 +144,7 @@
     std::int64_t last_uncached_tokens_ = 0; ///< Uncached prompt tokens of the last send.
     double last_estimate_ms_ = 0;           ///< Estimated first answer time of `last_server_`.
     double first_answer_ms_ = 0;
-    std::vector<std::string> guarded_parts_; ///< Names of the prompt's parts but the last.
+    std::vector<std::string> guarded_parts_; ///< The prompt's parts but the last, and the request.
     std::string trial_part_;                 ///< The part that this request is the trial of.
     int lost_sends_ = 0;                     ///< Sends that ended before their answer began.
     int crashes_ = 0;                        ///< Crashes of servers that held this request.
--- a/azureyoke/src/coordination/part_suspicions.cpp
+++ b/azureyoke/src/coordination/part_suspicions.cpp
@@ -11,6 +11,10 @@
 /// More crashes of one part change no decision.
 constexpr std::size_t max_marks = 8;
 
+bool is_request(std::string_view part) {
+    return part.starts_with(request_name_prefix);
+}
+
 bool contains(const std::vector<crash_mark>& list, std::uint64_t id) {
     return std::any_of(list.begin(), list.end(), [&](const auto& mark) { return mark.id == id; });
 }
@@ -70,12 +74,18 @@
 
 instant part_suspicions::blocked_until(const std::string& part, const record& it) const {
     auto failed_trials = weigh(part, it).failed_trials;
-    if (failed_trials == 0)
-        return {};
-    auto block = settings_.first_block;
-    for (int i = 1; i < failed_trials && block < settings_.longest_block; ++i)
-        block *= settings_.block_factor;
-    return it.known.trial_crash.at + std::min(block, settings_.longest_block);
+    return failed_trials == 0 ? instant()
+                              : it.known.trial_crash.at + block_after(part, failed_trials);
+}
+
+duration part_suspicions::block_after(const std::string& part, int failed_trials) const {
+    bool one = internal::is_request(part);
+    auto block = one ? settings_.first_request_block : settings_.first_block;
+    auto longest = one ? settings_.longest_request_block : settings_.longest_block;
+    auto factor = one ? settings_.request_block_factor : settings_.block_factor;
+    for (int i = 1; i < failed_trials && block < longest; ++i)
+        block *= factor;
+    return std::min(block, longest);
 }
 
 bool part_suspicions::apply_answer(record& it, instant at) {
@@ -243,18 +253,21 @@
     return found == records_.end() ? part_evidence() : found->second.known;
 }
 
-bool part_suspicions::too_old(const record& it, instant now) const {
+bool part_suspicions::too_old(const std::string& part, const record& it, instant now) const {
+    bool one = internal::is_request(part);
     if (it.known.failed_trials > 0)
-        return now - it.known.trial_crash.at >= 2 * settings_.longest_block;
+        return now - it.known.trial_crash.at >=
+               2 * (one ? settings_.longest_request_block : settings_.longest_block);
     if (it.known.crashes.empty())
         return now - it.known.answered_at >= settings_.answer_retention;
-    return now - it.known.crashes.back().at >= settings_.crash_retention;
+    return now - it.known.crashes.back().at >=
+           (one ? settings_.request_crash_retention : settings_.crash_retention);
 }
 
 void part_suspicions::expire(instant now) {
     std::vector<std::string> old;
     for (const auto& [part, it] : records_) {
-        if (too_old(it, now))
+        if (too_old(part, it, now))
             old.push_back(part);
     }
     for (const auto& part : old)
--- a/azureyoke/src/coordination/part_suspicions.h
+++ b/azureyoke/src/coordination/part_suspicions.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "azureyoke/src/coordination/time.h"
@@ -21,15 +22,24 @@
     duration first_block = std::chrono::seconds(5);
     int block_factor = 3;
     duration longest_block = std::chrono::minutes(30);
+    /// The same for a single request that comes again: nobody else waits for it, and an answer to
+    /// another request does not clear it.
+    duration first_request_block = std::chrono::minutes(1);
+    int request_block_factor = 30;
+    duration longest_request_block = std::chrono::hours(24);
     /// A crash is forgotten after this time unless a trial failed.
     duration crash_retention = std::chrono::minutes(5);
+    duration request_crash_retention = std::chrono::hours(1);
     /// An answer is remembered for this long, so that old evidence from peers has no effect.
     duration answer_retention = std::chrono::seconds(10);
-    std::size_t max_parts = 512;
+    std::size_t max_parts = 1024;
 
     friend bool operator==(const suspicion_settings&, const suspicion_settings&) = default;
 };
 
+/// Names that begin so stand for a single request, which may come again, in place of a part.
+constexpr std::string_view request_name_prefix = "request/";
+
 /// \brief The crash of a server while it held a request.
 struct crash_mark {
     std::uint64_t id = 0; ///< The same at each instance, different for each run of a server.
@@ -63,7 +73,8 @@
     friend bool operator==(const part_assessment&, const part_assessment&) = default;
 };
 
-/// \brief Finds the prompt parts whose requests crash backend servers.
+/// \brief Finds the prompt parts whose requests crash backend servers, and single requests that do
+/// so each time they come. Below, such a request is a part that only it has.
 ///
 /// Load pattern: one in some hundred requests carries a part that crashes each server that begins
 /// its answer. The requests come at all instances, no two alike, and share their other parts with
@@ -140,7 +151,8 @@
     bool add_failed_trials(const std::string& part, int failed, const crash_mark& crash);
     void update_blocked(const std::string& part);
     void forget(const std::string& part);
-    bool too_old(const record& it, instant now) const;
+    duration block_after(const std::string& part, int failed_trials) const;
+    bool too_old(const std::string& part, const record& it, instant now) const;
     std::vector<std::string> by_charges(std::vector<std::string> parts, std::size_t max) const;
     void make_room();
 
--- a/test/part_model_test.cpp
+++ b/test/part_model_test.cpp
@@ -58,6 +58,25 @@
     }
 }
 
+// Guards against a request that crashes servers and comes again, at any instance.
+Test(part_model, a_request_that_comes_again_reaches_few_servers, .timeout = 120) {
+    for (std::size_t instances : {1, 2, 8, 195, 640}) {
+        for (double per_second : {0.05, 0.5, 4.0}) {
+            for (unsigned seed = 1; seed <= 3; ++seed) {
+                part_world world({.instances = instances,
+                                  .servers = 12 + instances,
+                                  .deadly_per_second = per_second,
+                                  .loss = 0.05,
+                                  .seed = seed,
+                                  .deadly = {"request/again"},
+                                  .repeated = true});
+                world.run(instances > 100 ? 100 * second : 400 * second);
+                expect_bounds(world, "a request that comes again", seed);
+            }
+        }
+    }
+}
+
 Test(part_model, instances_that_restart_freeze_and_are_cut_off_keep_the_bounds, .timeout = 120) {
     for (unsigned seed = 1; seed <= 30; ++seed) {
         part_world world({.servers = 20, .deadly_per_second = 2, .loss = 0.1, .seed = seed});
--- a/test/part_suspicions_test.cpp
+++ b/test/part_suspicions_test.cpp
@@ -216,3 +216,35 @@
         }
     });
 }
+
+// Guards against a request that comes again all day and crashes a server at the end of each block.
+Test(part_suspicions, request_that_comes_again_all_day_is_tried_three_times_after_its_third_crash) {
+    suspicions_fixture it;
+    const parts request = {"request/again"};
+    std::size_t crashes = 0;
+    for (auto now = start; now < start + std::chrono::hours(24); now += 5 * second) {
+        auto assessed = it.suspicions.assess(request, now);
+        if (assessed.result == verdict::blocked)
+            continue;
+        bool trial = assessed.result == verdict::trial;
+        if (trial && !it.suspicions.try_start_trial(assessed.part, now))
+            continue;
+        it.crash(request, ++crashes, now);
+        if (trial)
+            it.suspicions.on_trial_failed(assessed.part, {crashes, now});
+        it.suspicions.expire(now);
+    }
+    constexpr std::size_t allowed = 3 + 3;
+    cr_assert_leq(crashes, allowed, "%zu crashes", crashes);
+}
+
+Test(part_suspicions, request_is_tried_before_the_parts_that_it_shares) {
+    suspicions_fixture it;
+    const parts request = {"first", "second", "request/again"};
+    it.crash(request, 1, start);
+    it.crash(request, 2, start + second);
+    cr_assert_eq(it.suspicions.assess(request, start + second).part, "request/again");
+    it.crash(request, 3, start + 2 * second);
+    it.suspicions.on_trial_failed("request/again", {3, start + 2 * second});
+    cr_assert_eq(it.of({"first", "second", "request/other"}, start + 3 * second), verdict::sound);
+}
