--- a/azureyoke/src/app/policy_changes.cpp
+++ b/azureyoke/src/app/policy_changes.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "azureyoke/src/state/json_nesting.h"
+
 namespace azureyoke::app {
 
 using nlohmann::json;
@@ -46,6 +48,8 @@
 }
 
 std::optional<policy_changes> parse_policy_changes(std::string_view bytes) {
+    if (!state::count_json_fields(bytes, state::json_encoding::cbor))
+        return std::nullopt;
     try {
         auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
         if (!body.is_array() || body.at(0) != internal::changes_tag)
--- a/azureyoke/src/state/json_reader.cpp
+++ b/azureyoke/src/state/json_reader.cpp
@@ -114,6 +114,12 @@
     }
 
     bool open_container(bool array) {
+        // The path of each value is built, which takes a time quadratic in the depth.
+        constexpr std::size_t max_depth = 64;
+        if (levels_.size() >= max_depth) {
+            fault = error{errc::malformed_document, path(), line_, "values are nested too deeply"};
+            return false;
+        }
         line_of.emplace(path(), line_);
         levels_.push_back({array, 0, {}});
         return true;
--- a/test/policy_changes_test.cpp
+++ b/test/policy_changes_test.cpp
@@ -42,6 +42,12 @@
     }
 }
 
+Test(policy_changes, deeply_nested_bytes_are_refused) {
+    constexpr char array_of_one = '\x81';
+    constexpr std::size_t levels = 1 << 20;
+    cr_assert_not(app::parse_policy_changes(std::string(levels, array_of_one)).has_value());
+}
+
 Test(policy_history, changes_since_a_recent_version_lead_to_the_newest) {
     app::policy_history history;
     cr_assert_null(history.newest());
