One place decides whether a refusal may promise that a request did not run

Cause: not found. Each caller of refuse() chose 502 or 503 by itself, from may_have_run_ alone. Not a fix of a fault that was seen.

--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -12,7 +12,7 @@
 using coordination::call_outcome;
 
 void forward_session::refuse_no_server() {
-    int status = may_have_run_ ? 502 : 503;
+    constexpr int status = 503;
     const auto& directory = services_.state.directory;
     auto& router = services_.state.router;
     auto now = services_.loop.now();
@@ -81,6 +81,10 @@
         finish(event_id::request_refused, "stream cut: " + why);
         return;
     }
+    // Callers read some statuses as a promise. It holds only if nothing was sent, or if each server
+    // said that it did not run the request.
+    if (means_not_run(status) && !is_proven_not_run())
+        status = 502;
     bool retry_useful = status == 503 || status == 429;
     auto fields = services_.dialect.refusal_fields(request_info_.request_id,
                                                    retry_useful ? retry_after_s : std::nullopt);
@@ -89,6 +93,10 @@
     finish(event_id::request_refused, std::to_string(status) + ": " + why);
 }
 
+bool forward_session::is_proven_not_run() const {
+    return !may_have_run_ && possible_runs_ == 0 && !choice_ && call_ == nullptr;
+}
+
 void forward_session::add_step(std::string what) {
     auto at = services_.loop.now() - exchange_->received();
     steps_.push_back({at.count(), std::move(what)});
--- a/azureyoke/src/app/forward_guard.cpp
+++ b/azureyoke/src/app/forward_guard.cpp
@@ -54,7 +54,7 @@
 void forward_session::refuse_suspected(const std::string& part, coordination::duration wait) {
     services_.measures.count("azureyoke_part_refusals_total", "pool", pool_);
     auto seconds = std::max(coordination::to_seconds(wait), min_retry_after_s);
-    refuse(may_have_run_ ? 502 : 503, "requests with \"" + part + "\" may crash backend servers",
+    refuse(503, "requests with \"" + part + "\" may crash backend servers",
            bounded_retry_after(seconds));
 }
 
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -343,7 +343,7 @@
         dispatch();
         return;
     }
-    refuse(may_have_run_ ? 502 : 503, why, bounded_retry_after(retry_after_no_server_s));
+    refuse(503, why, bounded_retry_after(retry_after_no_server_s));
 }
 
 } // namespace azureyoke::app
--- a/azureyoke/src/app/plain_session.cpp
+++ b/azureyoke/src/app/plain_session.cpp
@@ -73,6 +73,9 @@
 
 void plain_session::start() {
     if (auto ec = admit()) {
+        // The record of the key was not read: an earlier request with it may have run.
+        if (transport::find_field(scope_.request().fields, "Idempotency-Key"))
+            ec->run = run_state::unknown;
         refuse(*ec);
         return;
     }
