serve: a refusal before the record of its key is read says unknown

Cause: an instance without a configuration refuses at once, before it looks at the record of the Idempotency-Key; an earlier request with the key may have run elsewhere.

--- a/test/at_most_once_integration.cpp
+++ b/test/at_most_once_integration.cpp
@@ -85,6 +85,21 @@
     cr_assert_eq(fleet.run_count("a"), 1);
 }
 
+// Guards against "not-run" for a key whose record was not read: the first request may have run.
+Test(at_most_once, refusal_of_a_repeat_before_its_record_is_read_says_unknown) {
+    fleet_fixture fleet(behind_proxy_options());
+    cr_assert_eq(
+        fleet->fetch(fleet->instances()[0].callers, fleet.refund_request("a")).value().status, 200);
+    auto elsewhere = fleet.refund_request("a");
+    elsewhere.target = "/no-such-route";
+    auto answer = fleet->fetch(fleet->instances()[0].callers, elsewhere);
+    cr_assert_eq(answer.value().status, 404);
+    cr_assert_eq(run_field(*answer), "unknown");
+    std::erase_if(elsewhere.fields, [](const auto& it) { return it.name == "Idempotency-Key"; });
+    answer = fleet->fetch(fleet->instances()[0].callers, elsewhere);
+    cr_assert_eq(run_field(answer.value()), "not-run");
+}
+
 Test(at_most_once, lost_table_answers_run_each_key_once) {
     fleet_fixture fleet(behind_proxy_options());
     fleet->control(fleet->platform(), "/control", R"({"lose_answers":0.5})");
