Changes from a peer that do not apply leave a log line

Cause: the reason was dropped when the instance goes on to ask for the whole policy. Change: each transfer with a reason is logged and counted.

--- a/azureyoke/src/app/policy_service.cpp
+++ b/azureyoke/src/app/policy_service.cpp
@@ -1,5 +1,6 @@
 #include "azureyoke/src/app/policy_service.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -148,7 +149,7 @@
         why = "the peer answered " + std::to_string(answer->status);
     catch_up_.on_answer(it.peer, result, loop_.now());
     std::int64_t left_out = 0;
-    if (result == policy_answer::failed) {
+    if (!why.empty()) {
         metrics_.count("azureyoke_policy_transfers_failed_total", "content",
                        internal::name_of(it.content));
         if (log_limiter_.try_acquire(event_id::configuration_transfer_failed, loop_.now(),
