--- a/azureyoke/src/coordination/part_suspicions.cpp
+++ b/azureyoke/src/coordination/part_suspicions.cpp
@@ -11,10 +11,6 @@
 /// More crashes of one part change no decision.
 constexpr std::size_t max_marks = 8;
 
-bool is_request(std::string_view part) {
-    return part.starts_with(request_name_prefix);
-}
-
 bool contains(const std::vector<crash_mark>& list, std::uint64_t id) {
     return std::any_of(list.begin(), list.end(), [&](const auto& mark) { return mark.id == id; });
 }
@@ -72,20 +68,19 @@
     return list;
 }
 
-instant part_suspicions::blocked_until(const std::string& part, const record& it) const {
-    auto failed_trials = weigh(part, it).failed_trials;
-    return failed_trials == 0 ? instant()
-                              : it.known.trial_crash.at + block_after(part, failed_trials);
+const suspicion_block& part_suspicions::block_of(const std::string& part) const {
+    return part.starts_with(request_name_prefix) ? settings_.request : settings_.part;
 }
 
-duration part_suspicions::block_after(const std::string& part, int failed_trials) const {
-    bool one = internal::is_request(part);
-    auto block = one ? settings_.first_request_block : settings_.first_block;
-    auto longest = one ? settings_.longest_request_block : settings_.longest_block;
-    auto factor = one ? settings_.request_block_factor : settings_.block_factor;
-    for (int i = 1; i < failed_trials && block < longest; ++i)
-        block *= factor;
-    return std::min(block, longest);
+instant part_suspicions::blocked_until(const std::string& part, const record& it) const {
+    auto failed_trials = weigh(part, it).failed_trials;
+    if (failed_trials == 0)
+        return {};
+    const auto& block = block_of(part);
+    auto time = block.first;
+    for (int i = 1; i < failed_trials && time < block.longest; ++i)
+        time *= block.factor;
+    return it.known.trial_crash.at + std::min(time, block.longest);
 }
 
 bool part_suspicions::apply_answer(record& it, instant at) {
@@ -254,14 +249,12 @@
 }
 
 bool part_suspicions::too_old(const std::string& part, const record& it, instant now) const {
-    bool one = internal::is_request(part);
+    const auto& block = block_of(part);
     if (it.known.failed_trials > 0)
-        return now - it.known.trial_crash.at >=
-               2 * (one ? settings_.longest_request_block : settings_.longest_block);
+        return now - it.known.trial_crash.at >= 2 * block.longest;
     if (it.known.crashes.empty())
         return now - it.known.answered_at >= settings_.answer_retention;
-    return now - it.known.crashes.back().at >=
-           (one ? settings_.request_crash_retention : settings_.crash_retention);
+    return now - it.known.crashes.back().at >= block.crash_retention;
 }
 
 void part_suspicions::expire(instant now) {
--- a/azureyoke/src/coordination/part_suspicions.h
+++ b/azureyoke/src/coordination/part_suspicions.h
@@ -11,6 +11,16 @@
 
 namespace azureyoke::coordination {
 
+/// \brief How long requests are kept back.
+struct suspicion_block {
+    duration first;           ///< Time without requests after the first failed trial.
+    int factor = 1;           ///< Each further failed trial multiplies it.
+    duration longest;         ///< Bound on that time.
+    duration crash_retention; ///< A crash is forgotten after this time unless a trial failed.
+
+    friend bool operator==(const suspicion_block&, const suspicion_block&) = default;
+};
+
 struct suspicion_settings {
     /// A part is suspected after so many crashes without an answer in between.
     std::size_t crashes_to_suspect = 2;
@@ -18,18 +28,12 @@
     duration same_cause = std::chrono::milliseconds(100);
     /// A trial without a result is over after this time.
     duration trial_timeout = std::chrono::seconds(5);
-    /// Time without requests after the first failed trial; each further one multiplies it.
-    duration first_block = std::chrono::seconds(5);
-    int block_factor = 3;
-    duration longest_block = std::chrono::minutes(30);
-    /// The same for a single request that comes again: nobody else waits for it, and an answer to
-    /// another request does not clear it.
-    duration first_request_block = std::chrono::minutes(1);
-    int request_block_factor = 30;
-    duration longest_request_block = std::chrono::hours(24);
-    /// A crash is forgotten after this time unless a trial failed.
-    duration crash_retention = std::chrono::minutes(5);
-    duration request_crash_retention = std::chrono::hours(1);
+    suspicion_block part = {std::chrono::seconds(5), 3, std::chrono::minutes(30),
+                            std::chrono::minutes(5)};
+    /// Of a single request that comes again: nobody else waits for it, and an answer to another
+    /// request does not clear it.
+    suspicion_block request = {std::chrono::minutes(1), 30, std::chrono::hours(24),
+                               std::chrono::hours(1)};
     /// An answer is remembered for this long, so that old evidence from peers has no effect.
     duration answer_retention = std::chrono::seconds(10);
     std::size_t max_parts = 1024;
@@ -151,7 +155,7 @@
     bool add_failed_trials(const std::string& part, int failed, const crash_mark& crash);
     void update_blocked(const std::string& part);
     void forget(const std::string& part);
-    duration block_after(const std::string& part, int failed_trials) const;
+    const suspicion_block& block_of(const std::string& part) const;
     bool too_old(const std::string& part, const record& it, instant now) const;
     std::vector<std::string> by_charges(std::vector<std::string> parts, std::size_t max) const;
     void make_room();
