The name of a request is made by content_digest

Cause: a second way to turn a request into a digest, beside that of plain_session, with hexadecimal output of its own. Change: content_digest, which is also safe against chosen collisions.

--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -1,10 +1,7 @@
 #pragma once
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
 #include <cstdint>
-#include <cstdio>
 #include <functional>
 #include <map>
 #include <string>
@@ -14,7 +11,7 @@
 #include "azureyoke/src/coordination/part_suspicions.h"
 #include "azureyoke/src/coordination/time.h"
 #include "azureyoke/src/state/fleet_server.h"
-#include "azureyoke/src/state/text_delta.h"
+#include "azureyoke/src/state/key_digest.h"
 #include "azureyoke/src/state/traffic_policy.h"
 #include "azureyoke/src/transport/http_message.h"
 
@@ -106,15 +103,9 @@
 /// caller and body.
 inline std::string name_of_request(const transport::http_request& request, const std::string& host,
                                    const std::string& key) {
-    auto hex = [](std::uint64_t digest) {
-        std::array<char, 17> text{};
-        std::snprintf(text.data(), text.size(), "%016" PRIx64, digest);
-        return std::string(text.data());
-    };
-    // Only the last of these texts may contain a space.
-    auto head = request.method + " " + host + " " + request.target + " " + key;
-    return std::string(coordination::request_name_prefix) + hex(state::digest_of(head)) +
-           hex(state::digest_of(request.body));
+    return std::string(coordination::request_name_prefix) +
+           state::content_digest(request.method + "\n" + host + "\n" + request.target + "\n" + key +
+                                 "\n" + request.body);
 }
 
 /// \returns the names by which the parts of a prompt but the last are guarded against crashes. The
