policy_catch_up alone knows since when an instance lags

Cause: policy_service kept a second copy of the time, and named a version that nobody had to start over.

--- a/azureyoke/src/app/policy_service.cpp
+++ b/azureyoke/src/app/policy_service.cpp
@@ -66,7 +66,7 @@
 void policy_service::take(const policy_copy& copy, const std::string& source, std::size_t bytes) {
     if (!state_.set_policy(copy, loop_.now()))
         return;
-    auto since = std::exchange(behind_since_, std::nullopt);
+    auto since = catch_up_.behind_since();
     auto behind = since ? loop_.now() - *since : transport::duration(0);
     metrics_.count("azureyoke_policies_total", "source",
                    source == "registry" ? "registry" : "peer");
@@ -81,29 +81,20 @@
     catch_up_.on_policy();
     state_.newer_policy_exists = false;
     on_policy_(copy);
-    if (newer_policy_exists())
-        on_peer(own_version() + 1);
-}
-
-bool policy_service::newer_policy_exists() const {
-    return peers_.newest_policy(loop_.now()) > own_version();
+    on_peer(peers_.newest_policy(loop_.now()));
 }
 
 void policy_service::on_peer(std::int64_t version) {
     if (version <= own_version())
         return;
-    if (!behind_since_)
-        behind_since_ = loop_.now();
     state_.newer_policy_exists = true;
     catch_up_.on_newer_version(loop_.now());
     schedule();
 }
 
 void policy_service::tick() {
-    if (!state_.newer_policy_exists || newer_policy_exists())
-        return;
-    state_.newer_policy_exists = false;
-    behind_since_.reset();
+    if (state_.newer_policy_exists)
+        state_.newer_policy_exists = peers_.newest_policy(loop_.now()) > own_version();
 }
 
 void policy_service::schedule() {
--- a/azureyoke/src/app/policy_service.h
+++ b/azureyoke/src/app/policy_service.h
@@ -49,7 +49,6 @@
     };
 
     std::int64_t own_version() const;
-    bool newer_policy_exists() const;
     void schedule();
     void request();
     void on_answer(const transfer& it, const transport::result<transport::http_response>& answer);
@@ -68,7 +67,6 @@
     policy_handler on_policy_;
     coordination::policy_catch_up catch_up_;
     policy_history history_;
-    std::optional<transport::instant> behind_since_;
     std::unique_ptr<transport::timer> timer_;
 };
 
--- a/azureyoke/src/coordination/policy_catch_up.h
+++ b/azureyoke/src/coordination/policy_catch_up.h
@@ -74,6 +74,10 @@
                                        const std::vector<policy_source>& sources,
                                        bool registry_is_sending, instant now);
     void on_answer(const std::string& instance, policy_answer answer, instant now);
+
+    /// \returns since when a peer is known to have a newer policy, if one has.
+    std::optional<instant> behind_since() const { return behind_since_; }
+
     /// \returns when to call `next`; nothing while no request is due or one is under way.
     std::optional<instant> next_request_at() const;
 
