possible_runs_ alone decides on a promise

Cause: the check also asked for three facts that follow from it: a send that may have run, or is under way, is counted there.

--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -12,7 +12,6 @@
 using coordination::call_outcome;
 
 void forward_session::refuse_no_server() {
-    constexpr int status = 503;
     const auto& directory = services_.state.directory;
     auto& router = services_.state.router;
     auto now = services_.loop.now();
@@ -21,17 +20,16 @@
     if (limited && (!backoff || *limited < *backoff)) {
         auto latest = coordination::from_seconds(max_return_s());
         auto wait = services_.permits.book_return(pool_, *limited, latest);
-        refuse(status, "each backend server of pool \"" + pool_ + "\" is at its rate limit",
+        refuse(503, "each backend server of pool \"" + pool_ + "\" is at its rate limit",
                coordination::to_seconds(wait));
     } else if (backoff) {
-        refuse(status, "each usable backend server of pool \"" + pool_ + "\" asked for rest",
+        refuse(503, "each usable backend server of pool \"" + pool_ + "\" asked for rest",
                coordination::to_seconds(coordination::retry_after_delay(*backoff, query_.number)));
     } else if (!query_.software.empty()) {
-        refuse(status,
-               "no backend server of software version \"" + query_.software + "\" is usable",
+        refuse(503, "no backend server of software version \"" + query_.software + "\" is usable",
                bounded_retry_after(retry_after_no_server_s));
     } else {
-        refuse(status, "no backend server of pool \"" + pool_ + "\" is usable",
+        refuse(503, "no backend server of pool \"" + pool_ + "\" is usable",
                bounded_retry_after(retry_after_no_server_s));
     }
 }
@@ -81,9 +79,9 @@
         finish(event_id::request_refused, "stream cut: " + why);
         return;
     }
-    // Callers read some statuses as a promise. It holds only if nothing was sent, or if each server
-    // said that it did not run the request.
-    if (means_not_run(status) && !is_proven_not_run())
+    // Callers read some statuses as a promise. It holds only if no byte was sent, or if each server
+    // that got one said that it did not run the request.
+    if (means_not_run(status) && possible_runs_ > 0)
         status = 502;
     bool retry_useful = status == 503 || status == 429;
     auto fields = services_.dialect.refusal_fields(request_info_.request_id,
@@ -93,10 +91,6 @@
     finish(event_id::request_refused, std::to_string(status) + ": " + why);
 }
 
-bool forward_session::is_proven_not_run() const {
-    return !may_have_run_ && possible_runs_ == 0 && !choice_ && call_ == nullptr;
-}
-
 void forward_session::add_step(std::string what) {
     auto at = services_.loop.now() - exchange_->received();
     steps_.push_back({at.count(), std::move(what)});
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -106,10 +106,8 @@
     double max_return_s() const;
     /// Limits an estimated retry-after time to a third of the caller's remaining time.
     double bounded_retry_after(double seconds) const;
-    /// \returns whether each server that got the request said that it did not run it.
-    bool is_proven_not_run() const;
     /// Replies with an error of this instance, or aborts an answer that has started. A status that
-    /// means "not run" becomes 502 when that is not proven.
+    /// means "not run" becomes 502 when the request may have run.
     void refuse(int status, const std::string& why, std::optional<double> retry_after_s = {});
     void finish(event_id event, const std::string& detail);
     /// Adds a step to the trace that `azureyoke explain` shows.
