--- a/azureyoke/src/state/json_split.h
+++ b/azureyoke/src/state/json_split.h
@@ -21,8 +21,7 @@
 /// `{"routes":[{...},{...}]}`, without parsing them. Thread safe.
 ///
 /// The placeholder is an object with the field `element_index_field` alone. The text may contain no
-/// comments. The outline and the parts are valid JSON if and only if the
-/// text is.
+/// comments. The outline and the parts are valid JSON if and only if the text is.
 /// \returns nothing when the brackets of the text do not match.
 std::optional<json_split> split_elements(std::string_view text);
 
--- a/test/policy_model_test.cpp
+++ b/test/policy_model_test.cpp
@@ -33,20 +33,26 @@
     }
 }
 
+/// Changes a route each second.
+void expect_small_changes_in_force(policy_world& world, int count, const char* change,
+                                   const policy_world_options& options) {
+    std::vector<std::int64_t> versions;
+    for (int i = 0; i < count; ++i) {
+        versions.push_back(world.change(1));
+        world.run_for(second);
+    }
+    world.run_for(limit_of(options));
+    for (auto version : versions)
+        expect_in_force(world, version, limit_of(options), change, options);
+}
+
 } // namespace
 
 Test(policy_model, small_changes_each_second_are_in_force_in_time) {
     for_each_size([](const auto& options) {
         policy_world world(options);
         world.run_for(second);
-        std::vector<std::int64_t> versions;
-        for (int i = 0; i < 6; ++i) {
-            versions.push_back(world.change(1));
-            world.run_for(second);
-        }
-        world.run_for(limit_of(options));
-        for (auto version : versions)
-            expect_in_force(world, version, limit_of(options), "a route each second", options);
+        expect_small_changes_in_force(world, 6, "a route each second", options);
     });
 }
 
@@ -76,14 +82,7 @@
         world.run_for(second);
         for (int i = 0; i < options.instances; i += 3)
             world.cut_from_store(i, 10 * second);
-        std::vector<std::int64_t> versions;
-        for (int i = 0; i < 4; ++i) {
-            versions.push_back(world.change(1));
-            world.run_for(second);
-        }
-        world.run_for(limit_of(options));
-        for (auto version : versions)
-            expect_in_force(world, version, limit_of(options), "a third turned away", options);
+        expect_small_changes_in_force(world, 4, "a third turned away", options);
     });
 }
 
