--- a/review/tools/walls.cpp
+++ b/review/tools/walls.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-const std::set<std::string> isolated = {"north"};
+const std::set<std::string> isolated = {"north", "east", "west"};
 
 std::vector<std::string> part_ids(const std::string& text) {
     std::vector<std::string> ids;
@@ -92,6 +92,8 @@
           {"engine",
            {{"slots", 64}, {"kvCapacityTokens", 94603}, {"models", {{{"name", "daka510000"}}}}}}}},
         {{{"name", "north"}, {"apiKeys", {"key-north"}}, {"isolated", true}},
+         {{"name", "east"}, {"apiKeys", {"key-east"}}, {"isolated", true}},
+         {{"name", "west"}, {"apiKeys", {"key-west"}}, {"isolated", true}},
          {{"name", "south"}, {"apiKeys", {"key-south"}}, {"isolated", false}}});
     if (!world.start()) {
         world.note("the machines did not become ready");
@@ -109,10 +111,11 @@
         auto& from = *clients[number % clients.size()];
         if (!from.open() || from.waiting() > 0)
             return;
-        std::string tenant = number % 2 == 0 ? "north" : "south";
+        const char* names[] = {"north", "east", "south", "west"};
+        std::string tenant = names[number % 4];
         auto id = world.next_id();
         // The scheme's rules are the same for all tenants; the last part is the request's own.
-        auto scheme = std::to_string(number / 2 % 4);
+        auto scheme = std::to_string(number / 4 % 2);
         from.send({"POST",
                    "/summary/x",
                    {{"Host", "h.example"},
@@ -128,7 +131,7 @@
                   });
     });
     world.run_for(ms(2000));
-    for (std::size_t i = 0; i < 6; ++i) {
+    for (std::size_t i = 0; i < 12; ++i) {
         if (trouble()) {
             auto& overwritten = *world.replicas[i % world.replicas.size()];
             auto entry = overwritten.entry();
