--- a/review/tools/upload.cpp
+++ b/review/tools/upload.cpp
@@ -74,7 +74,7 @@
                   });
     };
     const std::string upload(400'000, 'x');
-    for (int round = 0; round < 6; ++round) {
+    for (int round = 0; round < 10; ++round) {
         std::vector<std::unique_ptr<client>> clients;
         for (auto& it : world.machines) {
             for (int i = 0; i < 8; ++i)
--- a/review/tools/versions.cpp
+++ b/review/tools/versions.cpp
@@ -99,22 +99,48 @@
                            (got.complete ? ", complete" : ", broken off"));
             });
     });
-    world.run_for(ms(2500));
-    if (trouble())
-        world.set_store_up(false);
-    world.run_for(ms(600));
-    for (auto& it : world.replicas) {
-        it->stop();
-        world.note(it->id() + " ends");
+    auto replace = [&](replica& it) {
+        it.stop();
+        world.note(it.id() + " ends");
         world.run_for(ms(300));
-        it->start("v2");
-        world.note(it->id() + " starts again, with version v2");
+        it.start("v2");
+        world.note(it.id() + " starts again, with version v2");
+    };
+    const char* name = std::getenv("DISRUPTION");
+    if (name != nullptr && std::string(name) == "restore") {
+        world.run_for(ms(2500));
+        world.store.save_copy();
+        world.note("store: the copy is made");
+        for (std::size_t i = 0; i + 1 < world.replicas.size(); ++i) {
+            world.run_for(ms(600));
+            replace(*world.replicas[i]);
+        }
+        world.run_for(ms(600));
+        if (trouble()) {
+            world.set_store_up(false);
+            world.run_for(ms(300));
+            world.store.restore_copy();
+            world.note("store: back from the copy");
+            world.store_up = true;
+            world.store.set_default_fault(store_fault::none);
+            world.run_for(ms(500));
+        }
+        replace(*world.replicas.back());
+        world.run_for(ms(3000));
+    } else {
+        world.run_for(ms(2500));
+        if (trouble())
+            world.set_store_up(false);
         world.run_for(ms(600));
+        for (auto& it : world.replicas) {
+            replace(*it);
+            world.run_for(ms(600));
+        }
+        world.run_for(ms(300));
+        if (trouble())
+            world.set_store_up(true);
+        world.run_for(ms(2000));
     }
-    world.run_for(ms(300));
-    if (trouble())
-        world.set_store_up(true);
-    world.run_for(ms(2000));
     traffic.reset();
     world.run_for(ms(5000));
     if (!world.all_running()) {
