--- a/review/build.sh
+++ b/review/build.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 out=target/review
 mkdir -p "$out"
+rm -f "$out"/*
 [ -f target/libazureyoke_platform.a ] || { echo "run the build of deploy/system.toml first" >&2; exit 2; }
 flags=(-std=c++20 -O1 -Wall -Wextra -I. $(pkg-config --cflags libevent))
 libs=(-Ltarget -lazureyoke_platform -lazureyoke_app -lazureyoke_protocol -lazureyoke_schema
