--- a/review/tools/deployment.cpp
+++ b/review/tools/deployment.cpp
@@ -2,6 +2,8 @@
 
 #include <cstdio>
 
+#include <unistd.h>
+
 namespace review {
 
 namespace names {
@@ -98,13 +100,40 @@
                        std::size_t count)
     : product_(std::move(product)), directory_(std::move(directory)), record_(record_file),
       began_(loop.now()) {
-    // Each machine has an address of its own, since all use the same ports.
+    // Each machine has an address of its own, since all use the same ports. The ports lie below those
+    // that the kernel gives to outgoing connections, and each is tried once, so that nothing takes
+    // one between this choice and the start of its machine.
+    constexpr int first_port = 12000;
+    constexpr int last_port = 31000;
+    int next_port = first_port + static_cast<int>(getpid()) * 37 % (last_port - first_port);
+    auto advance = [&] {
+        next_port = next_port >= last_port ? first_port : next_port + 1;
+        return static_cast<std::uint16_t>(next_port);
+    };
     auto free_port = [&](const std::string& ip) {
-        azureyoke::transport::tcp_listener probe(loop, [](int) {});
-        return probe.listen({ip, 0})->port;
+        for (int i = first_port; i < last_port; ++i) {
+            azureyoke::transport::tcp_listener probe(loop, [](int) {});
+            if (auto bound = probe.listen({ip, advance()}))
+                return bound->port;
+        }
+        std::cerr << "no free port at " << ip << "\n";
+        std::exit(not_run);
+    };
+    auto free_datagram_port = [&] {
+        for (int i = first_port; i < last_port; ++i) {
+            auto port = advance();
+            bool free = true;
+            for (std::size_t n = 0; n < count && free; ++n) {
+                azureyoke::transport::datagram_socket probe(loop, [](std::string_view) {});
+                free = probe.bind({"127.0.3." + std::to_string(n + 1), port}).has_value();
+            }
+            if (free)
+                return port;
+        }
+        std::cerr << "no free port for datagrams\n";
+        std::exit(not_run);
     };
-    azureyoke::transport::datagram_socket probe(loop, [](std::string_view) {});
-    auto peer_port = probe.bind({"127.0.3.1", 0})->port;
+    auto peer_port = free_datagram_port();
     for (std::size_t i = 0; i < count; ++i) {
         machine made;
         auto ip = "127.0.3." + std::to_string(i + 1);
