A part that crashes servers after the first event of their answers is held back

Cause: the first event of an answer refuted all charges of its parts, and a connection that was lost after it was not looked at as a crash.

Change: each request that is lost in a crash charges its parts, with how far its answer had got, in steps that double. A charge is refuted by a later answer with the part that gets two steps further, or to its end. Trials end when no suspicion is left. An answer that ends with its connection is complete only if its server still accepts connections. Single requests that come again are guarded in the same way. attempt_failed tells answered_ms, replica_crashed how many of the lost answers had begun.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -100,11 +100,8 @@
     if (first_answer_seen_)
         return;
     first_answer_seen_ = true;
-    if (success_ && !guarded_parts_.empty()) {
-        services_.parts.on_answer(guarded_parts_);
-        trial_part_.clear();
-    }
     auto now = services_.loop.now();
+    first_answer_at_ = now;
     services_.state.router.on_first_answer(*choice_, now - sent_at_, now);
     first_answer_ms_ = coordination::to_seconds(now - sent_at_) * 1000;
     add_step("first part of the answer received");
@@ -129,6 +126,7 @@
             forward_events(piece);
         } else {
             record_first_answer();
+            report_progress(progress());
             write_to_caller(piece);
         }
         return;
@@ -144,6 +142,7 @@
     if (events.empty())
         return;
     record_first_answer();
+    report_progress(progress());
     bool first_event = bound_stream_.empty() && !software_unknown_;
     if (first_event && request_info_.last_event.empty() && route_->resumable) {
         software_unknown_ = !versions_were_current_;
@@ -201,6 +200,7 @@
         return;
     case answer_mode::buffer:
         record_first_answer();
+        report_complete();
         reply_buffered();
         return;
     case answer_mode::pass_through:
@@ -209,6 +209,7 @@
                 {transport::errc::connection_lost, "the stream ended within an event", true});
             return;
         }
+        report_complete();
         end_call(call_outcome::answered);
         if (route_->rule == state::execution_rule::stream)
             exchange_->write(relay_.take_incomplete());
--- a/azureyoke/src/app/forward_guard.cpp
+++ b/azureyoke/src/app/forward_guard.cpp
@@ -37,18 +37,39 @@
     dispatch();
 }
 
-void forward_session::report_lost() {
-    ++lost_sends_;
+coordination::answer_progress forward_session::progress() const {
+    if (!first_answer_seen_)
+        return {};
+    return coordination::answer_progress::begun(services_.loop.now() - first_answer_at_);
+}
+
+void forward_session::report_progress(coordination::answer_progress reached) {
+    if (!success_ || reached <= reported_progress_)
+        return;
+    reported_progress_ = reached;
+    services_.parts.on_answer(guarded_parts_, reached);
+}
+
+void forward_session::report_complete() {
+    if (!success_)
+        return;
+    if (ends_with_connection_)
+        check_for_crash(true);
+    else
+        report_progress(coordination::answer_progress::complete());
+}
+
+void forward_session::check_for_crash(bool may_be_complete) {
     const auto* server = services_.state.directory.find(last_server_);
     auto address = transport::parse_address(server == nullptr ? "" : server->address);
     if (!address)
         return;
-    services_.parts.on_lost(
-        {last_server_, last_started_ms_, *address, guarded_parts_, std::exchange(trial_part_, {})},
-        [weak = weak_from_this()] {
-            if (auto self = weak.lock())
-                ++self->crashes_;
-        });
+    services_.parts.on_lost({last_server_, last_started_ms_, *address, guarded_parts_,
+                             std::exchange(trial_part_, {}), progress(), may_be_complete},
+                            [weak = weak_from_this()] {
+                                if (auto self = weak.lock())
+                                    ++self->crashes_;
+                            });
 }
 
 void forward_session::refuse_suspected(const std::string& part, coordination::duration wait) {
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -229,6 +229,7 @@
     sent_at_ = services_.loop.now();
     versions_were_current_ = services_.streams.versions_are_current();
     first_answer_seen_ = false;
+    reported_progress_ = {};
     success_ = false;
     server_error_ = false;
     answer_mode_ = answer_mode::pass_through;
@@ -294,9 +295,10 @@
                          : first_answer_seen_    ? "broken off"
                                                  : "lost";
     services_.measures.count("azureyoke_failed_attempts_total", "result", result);
-    if (ec.may_have_sent_bytes && ec.code == transport::errc::connection_lost &&
-        !first_answer_seen_)
-        report_lost();
+    if (ec.may_have_sent_bytes && ec.code == transport::errc::connection_lost) {
+        lost_sends_ += first_answer_seen_ ? 0 : 1;
+        check_for_crash(false);
+    }
     end_call(ec.may_have_sent_bytes ? call_outcome::incomplete : call_outcome::unreachable);
     if (ec.may_have_sent_bytes)
         may_have_run_ = true;
@@ -332,13 +334,18 @@
 void forward_session::retry_or_refuse(const std::string& why) {
     add_step(last_server_ + ": " + why);
     std::int64_t left_out = 0;
+    auto answered =
+        first_answer_seen_ ? services_.loop.now() - first_answer_at_ : coordination::duration();
     if (services_.log_limiter.try_acquire(event_id::attempt_failed, services_.loop.now(), left_out))
-        services_.log.warn(event_id::attempt_failed, {{"request", request_info_.request_id},
-                                                      {"backend_server", last_server_},
-                                                      {"why", why},
-                                                      {"began", first_answer_seen_ ? "yes" : "no"},
-                                                      {"parts", shared_parts_text()},
-                                                      {"left_out", std::to_string(left_out)}});
+        services_.log.warn(
+            event_id::attempt_failed,
+            {{"request", request_info_.request_id},
+             {"backend_server", last_server_},
+             {"why", why},
+             {"began", first_answer_seen_ ? "yes" : "no"},
+             {"answered_ms", std::to_string(answered / std::chrono::milliseconds(1))},
+             {"parts", shared_parts_text()},
+             {"left_out", std::to_string(left_out)}});
     if (try_acquire_retry()) {
         dispatch();
         return;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -56,8 +56,13 @@
     bool pass_part_guard();
     void on_trial_decided(const std::string& part, bool granted, coordination::duration wait);
     void refuse_suspected(const std::string& part, coordination::duration wait);
-    /// The connection was lost before the answer began.
-    void report_lost();
+    /// \returns how far the current answer has got.
+    coordination::answer_progress progress() const;
+    void report_progress(coordination::answer_progress reached);
+    /// The answer has come to its end, or may have if it ends with its connection.
+    void report_complete();
+    /// The connection has ended: the server may have crashed.
+    void check_for_crash(bool may_be_complete);
     /// Asks for a permit to send to the chosen server, which limits its rate.
     void request_permit();
     void on_permit(const coordination::server_choice& choice, bool granted);
@@ -154,6 +159,8 @@
     int possible_runs_ = 0;             ///< Sends that may have run.
     bool versions_were_current_ = true; ///< When the request was sent.
     bool first_answer_seen_ = false;
+    transport::instant first_answer_at_;              ///< When the current answer began.
+    coordination::answer_progress reported_progress_; ///< Of the current answer.
     bool ends_with_connection_ = false; ///< The current answer has neither a length nor chunks.
     bool success_ = false;              ///< The current answer has a status 2xx.
     bool server_error_ = false;         ///< The current answer has status 500 or above.
--- a/azureyoke/src/app/part_message.cpp
+++ b/azureyoke/src/app/part_message.cpp
@@ -24,6 +24,9 @@
 constexpr std::int64_t max_age_us = std::chrono::microseconds(std::chrono::hours(2)).count();
 constexpr int max_failed_trials = 1000;
 constexpr std::size_t max_crashes = 16;
+/// Places of the values of a part that older versions do not send.
+constexpr std::size_t answers_place = 6;
+constexpr std::size_t trial_progress_place = 7;
 
 class encoder {
 public:
@@ -53,10 +56,15 @@
     json encode(const part_report& it) const {
         auto crashes = json::array();
         for (const auto& mark : it.evidence.crashes)
-            crashes.push_back({mark.id, age_of(mark.at)});
+            crashes.push_back({mark.id, age_of(mark.at), mark.reached.step()});
+        auto answers = json::array();
+        for (auto at : it.evidence.answered_at)
+            answers.push_back(age_of(at));
         const auto& trial = it.evidence.trial_crash;
-        return json::array({it.part, age_of(it.evidence.answered_at), crashes,
-                            it.evidence.failed_trials, trial.id, age_of(trial.at)});
+        // Instances of older versions read the first six values; to them an answer is one that
+        // refutes every crash.
+        return json::array({it.part, answers.back(), crashes, it.evidence.failed_trials, trial.id,
+                            age_of(trial.at), answers, trial.reached.step()});
     }
 
     instant now_;
@@ -107,24 +115,58 @@
         return now_ - duration(us);
     }
 
+    /// \returns the progress at this place of the list. Instances of older versions leave it out,
+    /// since they report only answers that had not begun.
+    static std::optional<coordination::answer_progress> progress_of(const json& list,
+                                                                    std::size_t place) {
+        if (place >= list.size())
+            return coordination::answer_progress();
+        auto step = list.at(place).get<std::uint64_t>();
+        if (step >= coordination::answer_progress::steps)
+            return std::nullopt;
+        return coordination::answer_progress::at_step(step);
+    }
+
+    std::optional<coordination::answer_times> answers_of(const json& body) const {
+        coordination::answer_times answers{};
+        bool old_version = body.size() <= answers_place;
+        // Older versions report the last answer that began.
+        auto began = coordination::answer_progress::begun({}).step();
+        const auto& list = old_version ? body : body.at(answers_place);
+        if (!old_version && list.size() != answers.size())
+            return std::nullopt;
+        for (std::size_t step = 0; step < answers.size(); ++step) {
+            if (old_version && step != began)
+                continue;
+            auto at = time_of(list.at(old_version ? 1 : step));
+            if (!at)
+                return std::nullopt;
+            answers.at(step) = *at;
+        }
+        return answers;
+    }
+
     std::optional<part_report> decode_part(const json& body) const {
         part_report it;
         it.part = body.at(0).get<std::string>();
-        auto answered_at = time_of(body.at(1));
+        auto answers = answers_of(body);
         auto trial_at = time_of(body.at(5));
+        auto trial_reached = progress_of(body, trial_progress_place);
         it.evidence.failed_trials = body.at(3).get<int>();
-        bool valid =
-            answered_at && trial_at && !it.part.empty() && it.evidence.failed_trials >= 0 &&
-            it.evidence.failed_trials <= max_failed_trials && body.at(2).size() <= max_crashes;
+        bool valid = answers && trial_at && trial_reached && !it.part.empty() &&
+                     it.evidence.failed_trials >= 0 &&
+                     it.evidence.failed_trials <= max_failed_trials &&
+                     body.at(2).size() <= max_crashes;
         if (!valid)
             return std::nullopt;
-        it.evidence.answered_at = *answered_at;
-        it.evidence.trial_crash = {body.at(4).get<std::uint64_t>(), *trial_at};
+        it.evidence.answered_at = *answers;
+        it.evidence.trial_crash = {body.at(4).get<std::uint64_t>(), *trial_at, *trial_reached};
         for (const auto& mark : body.at(2)) {
             auto at = time_of(mark.at(1));
-            if (!at || *at == instant())
+            auto reached = progress_of(mark, 2);
+            if (!at || *at == instant() || !reached)
                 return std::nullopt;
-            it.evidence.crashes.push_back({mark.at(0).get<std::uint64_t>(), *at});
+            it.evidence.crashes.push_back({mark.at(0).get<std::uint64_t>(), *at, *reached});
         }
         return it;
     }
--- a/azureyoke/src/app/part_service.cpp
+++ b/azureyoke/src/app/part_service.cpp
@@ -56,13 +56,14 @@
         log_.write(event_id::part_cleared, {{"part", part}, {"said_by", said_by}});
 }
 
-void part_service::on_answer(const std::vector<std::string>& parts) {
+void part_service::on_answer(const std::vector<std::string>& parts,
+                             coordination::answer_progress reached) {
     if (suspicions_.empty())
         return;
     std::vector<std::string> suspected;
     std::copy_if(parts.begin(), parts.end(), std::back_inserter(suspected),
                  [&](const auto& part) { return suspicions_.is_suspected(part); });
-    suspicions_.on_answer(parts, loop_.now());
+    suspicions_.on_answer(parts, reached, loop_.now());
     for (const auto& part : suspected)
         log_change(part, true, "answer");
 }
@@ -83,24 +84,38 @@
     auto& check = node.mapped();
     // The caller is a function of the probe.
     loop_.defer([probe = std::shared_ptr<transport::connect_probe>(std::move(check.probe))] {});
-    if (result != transport::connect_result::refused)
-        return;
+    bool crashed = result == transport::connect_result::refused;
     for (const auto& [lost, on_crash] : check.lost) {
-        coordination::crash_mark crash{internal::crash_id(lost), check.lost_at};
-        std::vector<bool> suspected;
-        for (const auto& part : lost.parts)
-            suspected.push_back(suspicions_.is_suspected(part));
-        suspicions_.on_crash(lost.parts, crash);
-        if (!lost.trial_part.empty()) {
-            suspicions_.on_trial_failed(lost.trial_part, crash);
-            measures_.count("azureyoke_part_trials_total", "result", "crashed");
+        if (crashed) {
+            charge(lost, {internal::crash_id(lost), check.lost_at, lost.reached});
+            on_crash();
+        } else if (lost.may_be_complete && result == transport::connect_result::accepted) {
+            on_answer(lost.parts, coordination::answer_progress::complete());
         }
-        for (std::size_t i = 0; i < lost.parts.size(); ++i)
-            log_change(lost.parts[i], suspected[i], "crash");
-        on_crash();
     }
-    log_.warn(event_id::replica_crashed,
-              {{"backend_server", server}, {"lost", std::to_string(check.lost.size())}});
+    if (!crashed)
+        return;
+    auto begun = std::count_if(check.lost.begin(), check.lost.end(), [](const auto& it) {
+        return it.first.reached > coordination::answer_progress();
+    });
+    log_.warn(event_id::replica_crashed, {{"backend_server", server},
+                                          {"lost", std::to_string(check.lost.size())},
+                                          {"begun", std::to_string(begun)}});
+}
+
+void part_service::charge(const lost_request& lost, const coordination::crash_mark& crash) {
+    std::vector<bool> suspected;
+    for (const auto& part : lost.parts)
+        suspected.push_back(suspicions_.is_suspected(part));
+    // A part that was cleared while its trial went on is not tried any more.
+    bool trial = !lost.trial_part.empty() && suspicions_.is_suspected(lost.trial_part);
+    suspicions_.on_crash(lost.parts, crash);
+    if (trial) {
+        suspicions_.on_trial_failed(lost.trial_part, crash);
+        measures_.count("azureyoke_part_trials_total", "result", "crashed");
+    }
+    for (std::size_t i = 0; i < lost.parts.size(); ++i)
+        log_change(lost.parts[i], suspected[i], "crash");
 }
 
 std::string part_service::decider_of(const std::string& part, const std::string& without) const {
--- a/azureyoke/src/app/part_service.h
+++ b/azureyoke/src/app/part_service.h
@@ -32,7 +32,8 @@
 
     coordination::part_assessment assess(const std::vector<std::string>& parts) const override;
     void acquire_trial(const std::string& part, trial_handler done) override;
-    void on_answer(const std::vector<std::string>& parts) override;
+    void on_answer(const std::vector<std::string>& parts,
+                   coordination::answer_progress reached) override;
     void on_lost(const lost_request& lost, crash_handler on_crash) override;
 
     /// \brief A peer reported. When it has just started, it is told the parts whose trials this
@@ -63,6 +64,7 @@
     void send(const std::string& instance, const std::vector<std::string>& messages) const;
     std::vector<std::string> messages_about(const std::vector<std::string>& parts) const;
     void on_probed(const std::string& server, transport::connect_result result);
+    void charge(const lost_request& lost, const coordination::crash_mark& crash);
     void on_news(const part_news& news);
     void on_request(const trial_request& request);
     void on_reply(const trial_reply& reply);
--- a/azureyoke/src/coordination/part_suspicions.cpp
+++ b/azureyoke/src/coordination/part_suspicions.cpp
@@ -15,6 +15,15 @@
     return std::any_of(list.begin(), list.end(), [&](const auto& mark) { return mark.id == id; });
 }
 
+bool is_refuted(const crash_mark& mark, const answer_times& answered_at) {
+    for (std::size_t step = 0; step < answered_at.size(); ++step) {
+        if (answer_progress::at_step(step).is_beyond(mark.reached) &&
+            mark.at <= answered_at.at(step))
+            return true;
+    }
+    return false;
+}
+
 /// \returns whether the failed trials of `culprit` explain the crashes that it shares with `other`.
 /// Of two parts that were in the crashes of each other's trials, neither explains the other's.
 bool explains(const part_evidence& culprit, const part_evidence& other) {
@@ -83,24 +92,40 @@
     return it.known.trial_crash.at + std::min(time, block.longest);
 }
 
-bool part_suspicions::apply_answer(record& it, instant at) {
-    if (at <= it.known.answered_at)
+bool part_suspicions::apply_answer(record& it, answer_progress reached, instant at) {
+    auto& known = it.known;
+    auto answered_at = known.answered_at;
+    auto& latest = answered_at.at(reached.step());
+    if (at <= latest)
         return false;
-    auto refuted = std::erase_if(it.known.crashes, [&](const auto& mark) { return mark.at <= at; });
-    bool trial_refuted = it.known.failed_trials > 0 && it.known.trial_crash.at <= at;
+    latest = at;
+    auto refuted = std::erase_if(
+        known.crashes, [&](const auto& mark) { return internal::is_refuted(mark, answered_at); });
+    bool trial_refuted =
+        known.failed_trials > 0 && internal::is_refuted(known.trial_crash, answered_at);
     if (refuted == 0 && !trial_refuted)
         return false;
     if (trial_refuted)
-        it.known.failed_trials = 0;
-    it.known.answered_at = at;
-    it.trial_until = {};
+        known.failed_trials = 0;
+    known.answered_at = answered_at;
     return true;
 }
 
+// Several requests with a part may be lost in one crash. Those that had got less far are no
+// evidence, since the others had passed that point.
 bool part_suspicions::add_crash(record& it, const crash_mark& mark) {
     auto& list = it.known.crashes;
-    if (internal::contains(list, mark.id) || mark.at <= it.known.answered_at)
+    if (mark.reached == answer_progress::complete() ||
+        internal::is_refuted(mark, it.known.answered_at))
         return false;
+    auto same = std::find_if(list.begin(), list.end(),
+                             [&](const auto& other) { return other.id == mark.id; });
+    if (same != list.end()) {
+        if (mark.reached <= same->reached)
+            return false;
+        same->reached = mark.reached;
+        return true;
+    }
     auto before = [](const auto& a, const auto& b) { return a.at < b.at; };
     list.insert(std::upper_bound(list.begin(), list.end(), mark, before), mark);
     if (list.size() > internal::max_marks)
@@ -110,16 +135,24 @@
 
 bool part_suspicions::add_failed_trials(const std::string& part, int failed,
                                         const crash_mark& crash) {
-    auto& it = records_[part];
-    if (failed <= it.known.failed_trials || crash.at <= it.known.answered_at)
+    auto& known = records_[part].known;
+    auto order = [](int trials, const crash_mark& last) {
+        return std::tuple(trials, last.id, last.reached);
+    };
+    if (order(failed, crash) <= order(known.failed_trials, known.trial_crash) || failed == 0 ||
+        internal::is_refuted(crash, known.answered_at))
         return false;
-    it.known.failed_trials = failed;
-    it.known.trial_crash = crash;
-    it.trial_until = {};
+    known.failed_trials = failed;
+    known.trial_crash = crash;
+    records_[part].trial_until = {};
     update_blocked(part);
     return true;
 }
 
+bool part_suspicions::has_charges(const record& it) {
+    return !it.known.crashes.empty() || it.known.failed_trials > 0;
+}
+
 void part_suspicions::on_crash(const std::vector<std::string>& parts, const crash_mark& crash) {
     for (const auto& part : parts) {
         if (add_crash(records_[part], crash))
@@ -128,17 +161,18 @@
     make_room();
 }
 
-void part_suspicions::on_answer(const std::vector<std::string>& parts, instant now) {
+void part_suspicions::on_answer(const std::vector<std::string>& parts, answer_progress reached,
+                                instant now) {
     for (const auto& part : parts) {
         auto found = records_.find(part);
-        if (found == records_.end() || !apply_answer(found->second, now))
+        if (found == records_.end() || !apply_answer(found->second, reached, now))
             continue;
         update_blocked(part);
-        if (found->second.shared) {
+        end_trial_if_cleared(part);
+        if (found->second.shared || has_charges(found->second))
             changed_.insert(part);
-            continue;
-        }
-        forget(part);
+        else
+            forget(part);
     }
 }
 
@@ -149,6 +183,12 @@
         blocked_.erase(part);
 }
 
+void part_suspicions::end_trial_if_cleared(const std::string& part) {
+    auto& it = records_.at(part);
+    if (!is_suspected(weigh(part, it)))
+        it.trial_until = {};
+}
+
 void part_suspicions::forget(const std::string& part) {
     changed_.erase(part);
     blocked_.erase(part);
@@ -202,11 +242,16 @@
     if (!tells_crashes && !records_.contains(part))
         return;
     records_[part].shared = true;
-    bool changed = apply_answer(records_[part], std::min(reported.answered_at, now));
+    bool changed = false;
+    for (std::size_t step = 0; step < reported.answered_at.size(); ++step)
+        changed = apply_answer(records_[part], answer_progress::at_step(step),
+                               std::min(reported.answered_at.at(step), now)) ||
+                  changed;
     for (const auto& mark : reported.crashes)
         changed = add_crash(records_[part], mark) || changed;
     changed = add_failed_trials(part, reported.failed_trials, reported.trial_crash) || changed;
     update_blocked(part);
+    end_trial_if_cleared(part);
     if (changed)
         changed_.insert(part);
     make_room();
@@ -252,8 +297,11 @@
     const auto& block = block_of(part);
     if (it.known.failed_trials > 0)
         return now - it.known.trial_crash.at >= 2 * block.longest;
-    if (it.known.crashes.empty())
-        return now - it.known.answered_at >= settings_.answer_retention;
+    if (it.known.crashes.empty()) {
+        const auto& answers = it.known.answered_at;
+        return now - *std::max_element(answers.begin(), answers.end()) >=
+               settings_.answer_retention;
+    }
     return now - it.known.crashes.back().at >= block.crash_retention;
 }
 
--- a/azureyoke/src/coordination/part_suspicions.h
+++ b/azureyoke/src/coordination/part_suspicions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -7,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "azureyoke/src/coordination/answer_progress.h"
 #include "azureyoke/src/coordination/time.h"
 
 namespace azureyoke::coordination {
@@ -48,14 +50,18 @@
 struct crash_mark {
     std::uint64_t id = 0; ///< The same at each instance, different for each run of a server.
     instant at;
+    answer_progress reached{}; ///< Of the answer to that request.
 
     friend bool operator==(const crash_mark&, const crash_mark&) = default;
 };
 
-/// \brief What is known about a part since it was last in an answer.
+/// By the step of their progress, the last answers that refuted crashes.
+using answer_times = std::array<instant, answer_progress::steps>;
+
+/// \brief What is known about a part, less what answers have refuted.
 struct part_evidence {
     std::vector<crash_mark> crashes; ///< In the order of their times.
-    instant answered_at;             ///< The last answer that refuted crashes.
+    answer_times answered_at{};
     int failed_trials = 0;
     crash_mark trial_crash; ///< That of the last failed trial.
 
@@ -82,12 +88,16 @@
 ///
 /// Load pattern: one in some hundred requests carries a part that crashes each server that begins
 /// its answer. The requests come at all instances, no two alike, and share their other parts with
-/// sound requests. Every part of a request that was lost in a crash before its answer is charged
-/// with it; an answer to any request with a part refutes all earlier charges. A part with two
-/// charges is suspected, and its requests wait for a trial: a single request of the whole fleet
+/// sound requests. Every part of a request that was lost in a crash is charged with it. A part with
+/// two charges is suspected, and its requests wait for a trial: a single request of the whole fleet
 /// that is sent on. If it is answered, the part is cleared. If it crashes its server, the part is
 /// blocked for a time that multiplies with each failed trial.
 ///
+/// A crash also breaks off the answers to sound requests, at any point, while a part crashes its
+/// servers at much the same point of each answer. So a charge says how far the answer had got, and
+/// is refuted by a later answer to any request with the part that gets clearly further, or to its
+/// end.
+///
 /// A request with several suspected parts is a trial of one: the part with the most charges, or the
 /// last of them in the prompt, since later parts are shared by fewer requests. A failed trial
 /// explains the crashes that its part was charged with: other parts are no longer charged with
@@ -98,10 +108,11 @@
 public:
     explicit part_suspicions(const suspicion_settings& settings) : settings_(settings) {}
 
-    /// \brief A request with these parts was lost before its answer, in a crash.
+    /// \brief A request with these parts was lost in a crash. Nothing is charged when its answer
+    /// had got as far as a complete one.
     void on_crash(const std::vector<std::string>& parts, const crash_mark& crash);
-    /// \brief The answer to a request with these parts began.
-    void on_answer(const std::vector<std::string>& parts, instant now);
+    /// \brief The answer to a request with these parts has got so far.
+    void on_answer(const std::vector<std::string>& parts, answer_progress reached, instant now);
     /// \brief The request that was the trial of `part` crashed its server.
     /// \pre `on_crash` was called for the crash and the part.
     void on_trial_failed(const std::string& part, const crash_mark& crash);
@@ -149,11 +160,13 @@
     instant blocked_until(const std::string& part, const record& it) const;
     /// \returns whether the crash is one that a failed trial of another part explains.
     bool is_explained(const std::string& part, const record& it, std::uint64_t crash) const;
-    /// \returns whether an answer at `at` refutes anything.
-    static bool apply_answer(record& it, instant at);
+    /// \returns whether an answer that had got so far at `at` refutes anything.
+    static bool apply_answer(record& it, answer_progress reached, instant at);
     static bool add_crash(record& it, const crash_mark& mark);
     bool add_failed_trials(const std::string& part, int failed, const crash_mark& crash);
     void update_blocked(const std::string& part);
+    void end_trial_if_cleared(const std::string& part);
+    static bool has_charges(const record& it);
     void forget(const std::string& part);
     const suspicion_block& block_of(const std::string& part) const;
     bool too_old(const std::string& part, const record& it, instant now) const;
--- a/test/forward_part_test.cpp
+++ b/test/forward_part_test.cpp
@@ -7,6 +7,7 @@
 #include "azureyoke/src/app/forward_rules.h"
 
 using namespace azureyoke;
+using coordination::answer_progress;
 using state::execution_rule;
 using verdict = coordination::part_assessment::verdict;
 
@@ -43,6 +44,7 @@
     cr_assert_eq(it.guard.asked.size(), 1U);
     cr_assert_eq(it.guard.answered.size(), 1U);
     cr_assert(it.guard.answered.front() == named_parts);
+    cr_assert(it.guard.progress.front() == answer_progress::complete());
 }
 
 Test(forward_part, denied_trial_is_refused_with_the_time_to_return) {
@@ -99,14 +101,44 @@
     cr_assert_eq(it.guard.lost.size(), 2U);
 }
 
-Test(forward_part, answer_that_began_before_the_connection_ended_charges_nothing) {
+// Guards against parts that crash servers after their answers began, and are never suspected.
+Test(forward_part, answer_that_broke_off_is_told_with_how_far_it_had_got) {
     part_fixture it(1);
     it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
                "4\r\npart\r\n",
                true});
     cr_assert_neq(it.fetch_answer(with_part).status, 200);
     cr_assert_eq(it.guard.answered.size(), 1U);
-    cr_assert(it.guard.lost.empty());
+    cr_assert(it.guard.progress.front() == answer_progress::begun({}));
+    cr_assert_eq(it.guard.lost.size(), 1U);
+    cr_assert(it.guard.lost.front().parts == named_parts);
+    cr_assert(it.guard.lost.front().reached == answer_progress::begun({}));
+    cr_assert_not(it.guard.lost.front().may_be_complete);
+}
+
+// Guards against a trial that counts as answered once its first event came.
+Test(forward_part, trial_that_crashes_its_server_after_the_first_event_is_told_with_its_part) {
+    auto route = forward_fixture::route(execution_rule::stream, 1);
+    forward_fixture it(route);
+    it.guard.assessment = {verdict::trial, "p/x", {}};
+    it.guard.grants_trials = true;
+    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "11\r\nid: 1\ndata: one\n\n\r\n",
+               true});
+    (void)it.fetch_answer(with_part);
+    cr_assert_eq(it.guard.lost.size(), 1U);
+    cr_assert_eq(it.guard.lost.front().trial_part, "p/x");
+}
+
+// Guards against a crash that looks like the end of an answer without length and chunks.
+Test(forward_part, answer_that_ends_with_its_connection_may_be_complete) {
+    auto route = forward_fixture::route(execution_rule::stream, 1);
+    forward_fixture it(route);
+    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\n\r\nid: 1\ndata: one\n\n", true});
+    cr_assert_eq(it.fetch_answer(with_part).status, 200);
+    cr_assert_eq(it.guard.lost.size(), 1U);
+    cr_assert(it.guard.lost.front().may_be_complete);
+    cr_assert_neq(it.guard.progress.back().step(), answer_progress::complete().step());
 }
 
 Test(forward_part, error_answer_clears_nothing) {
--- a/test/part_service_test.cpp
+++ b/test/part_service_test.cpp
@@ -158,6 +158,34 @@
     cr_assert_eq(it.first.assessed(), verdict::sound);
 }
 
+// Guards against an answer without length and chunks that looks complete after a crash.
+Test(part_service, answer_that_may_be_complete_counts_by_whether_its_server_lives) {
+    part_service_fixture it;
+    app::lost_request ended{"server", 0, it.closed_address(), prompt, {}, {}, true};
+    for (int i = 0; i < 2; ++i) {
+        bool confirmed = false;
+        ended.started_ms = ++it.runs;
+        it.first.parts.on_lost(ended, [&] { confirmed = true; });
+        it.wait_until([&] { return confirmed; });
+        it.wait(110 * ms);
+    }
+    cr_assert_eq(it.first.assessed(), verdict::trial);
+    transport::tcp_listener living(it.loop, [](int fd) { close(fd); });
+    ended.address = *living.listen({"127.0.5.9", 0});
+    it.first.parts.on_lost(ended, [] { cr_assert_fail("the server lives"); });
+    it.wait_until([&] { return it.first.assessed() == verdict::sound; });
+}
+
+// Guards against a sound part that is blocked since the server of its trial crashed much later.
+Test(part_service, crash_under_a_trial_whose_part_was_cleared_blocks_nothing) {
+    part_service_fixture it;
+    it.crash(it.first);
+    it.crash(it.first);
+    it.first.parts.on_answer(prompt, coordination::answer_progress::complete());
+    it.crash(it.first, "p/deadly");
+    cr_assert_eq(it.first.assessed(), verdict::sound);
+}
+
 Test(part_service, one_instance_of_the_fleet_gets_the_trial) {
     part_service_fixture it;
     it.crash(it.first);
@@ -187,7 +215,7 @@
     it.crash(*it.second);
     it.wait_until([&] { return it.second->assessed() == verdict::trial; });
     cr_assert(it.acquire(*it.second));
-    it.second->parts.on_answer(prompt);
+    it.second->parts.on_answer(prompt, coordination::answer_progress::complete());
     it.wait_until([&] {
         return it.first.assessed() == verdict::sound && it.second->assessed() == verdict::sound;
     });
--- a/test/part_suspicions_test.cpp
+++ b/test/part_suspicions_test.cpp
@@ -7,6 +7,7 @@
 #include "test/property.h"
 
 using namespace azureyoke;
+using coordination::answer_progress;
 using coordination::duration;
 using coordination::instant;
 using coordination::part_suspicions;
@@ -17,6 +18,7 @@
 constexpr duration ms = std::chrono::milliseconds(1);
 constexpr duration second = std::chrono::seconds(1);
 constexpr instant start{std::chrono::hours(1)};
+constexpr auto complete = answer_progress::complete();
 
 using parts = std::vector<std::string>;
 
@@ -25,8 +27,8 @@
 struct suspicions_fixture {
     part_suspicions suspicions{{}};
 
-    void crash(const parts& prompt, std::uint64_t id, instant at) {
-        suspicions.on_crash(prompt, {id, at});
+    void crash(const parts& prompt, std::uint64_t id, instant at, answer_progress reached = {}) {
+        suspicions.on_crash(prompt, {id, at, reached});
     }
 
     verdict of(const parts& prompt, instant at) const {
@@ -87,13 +89,78 @@
 Test(part_suspicions, answer_refutes_earlier_crashes_but_no_later_ones) {
     suspicions_fixture it;
     it.crash({"x"}, 1, start);
-    it.suspicions.on_answer({"x"}, start + second);
+    it.suspicions.on_answer({"x"}, complete, start + second);
     it.crash({"x"}, 2, start + 2 * second);
     cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::sound);
     it.crash({"x"}, 3, start + 3 * second);
     cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::trial);
 }
 
+// Guards against the first event of an answer that clears a part which crashes servers later.
+Test(part_suspicions, answer_that_got_no_further_than_the_lost_ones_refutes_nothing) {
+    suspicions_fixture it;
+    auto first_event = answer_progress::begun(10 * ms);
+    it.crash({"x"}, 1, start, first_event);
+    it.suspicions.on_answer({"x"}, answer_progress::begun({}), start + second);
+    it.suspicions.on_answer({"x"}, answer_progress::begun(150 * ms), start + second);
+    it.crash({"x"}, 2, start + 2 * second, first_event);
+    cr_assert_eq(it.of({"x"}, start + 2 * second), verdict::trial);
+    it.suspicions.on_answer({"x"}, answer_progress::begun(250 * ms), start + 3 * second);
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::sound,
+                 "an answer that got clearly further is no evidence");
+}
+
+Test(part_suspicions, answer_refutes_the_crashes_that_it_got_beyond_and_no_others) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.crash({"x"}, 2, start + second, answer_progress::begun(second));
+    it.crash({"x"}, 3, start + 2 * second, answer_progress::begun(second));
+    it.suspicions.on_answer({"x"}, answer_progress::begun(400 * ms), start + 3 * second);
+    cr_assert_eq(it.suspicions.evidence("x").crashes.size(), 2U);
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::trial);
+}
+
+Test(part_suspicions, failed_trial_is_refuted_by_an_answer_that_got_beyond_it_only) {
+    suspicions_fixture it;
+    auto late = answer_progress::begun(2 * second);
+    for (std::uint64_t id : {1, 2, 3})
+        it.crash({"x"}, id, start + static_cast<int>(id) * second, late);
+    it.suspicions.on_trial_failed("x", {3, start + 3 * second, late});
+    it.suspicions.on_answer({"x"}, answer_progress::begun(second), start + 4 * second);
+    cr_assert_eq(it.of({"x"}, start + 4 * second), verdict::blocked);
+    it.suspicions.on_answer({"x"}, complete, start + 5 * second);
+    cr_assert_eq(it.of({"x"}, start + 5 * second), verdict::sound);
+}
+
+Test(part_suspicions, of_several_requests_lost_in_one_crash_the_furthest_counts) {
+    suspicions_fixture it;
+    for (std::uint64_t id : {1, 2}) {
+        auto at = start + static_cast<int>(id) * second;
+        it.crash({"x"}, id, at, answer_progress::begun(second));
+        it.crash({"x"}, id, at, answer_progress());
+    }
+    it.suspicions.on_answer({"x"}, answer_progress::begun(400 * ms), start + 3 * second);
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::trial);
+}
+
+Test(part_suspicions, answer_that_ran_for_long_is_not_charged) {
+    suspicions_fixture it;
+    for (std::uint64_t id : {1, 2})
+        it.crash({"x"}, id, start + static_cast<int>(id) * second,
+                 answer_progress::begun(std::chrono::minutes(1)));
+    cr_assert_eq(it.of({"x"}, start + 3 * second), verdict::sound);
+}
+
+Test(part_suspicions, trial_goes_on_while_a_part_of_the_charges_is_refuted) {
+    suspicions_fixture it;
+    it.crash({"x"}, 1, start);
+    it.crash({"x"}, 2, start + second, answer_progress::begun(second));
+    it.crash({"x"}, 3, start + 2 * second, answer_progress::begun(second));
+    cr_assert(it.suspicions.try_start_trial("x", start + 3 * second));
+    it.suspicions.on_answer({"x"}, answer_progress::begun(400 * ms), start + 3 * second);
+    cr_assert_not(it.suspicions.try_start_trial("x", start + 3 * second + 100 * ms));
+}
+
 Test(part_suspicions, one_trial_runs_at_a_time) {
     suspicions_fixture it;
     it.crash({"x"}, 1, start);
@@ -143,7 +210,7 @@
 Test(part_suspicions, answer_clears_a_blocked_part_at_once) {
     suspicions_fixture it;
     it.block_deadly();
-    it.suspicions.on_answer(deadly_prompt, start + 8 * second);
+    it.suspicions.on_answer(deadly_prompt, complete, start + 8 * second);
     cr_assert_eq(it.of(deadly_prompt, start + 8 * second), verdict::sound);
     cr_assert(it.suspicions.suspected().empty());
 }
@@ -153,7 +220,7 @@
     it.block_deadly();
     auto before = it.suspicions.evidence("deadly");
     (void)it.suspicions.take_changed(10);
-    it.suspicions.on_answer(deadly_prompt, start + 8 * second);
+    it.suspicions.on_answer(deadly_prompt, complete, start + 8 * second);
     it.suspicions.merge("deadly", before, start + 9 * second);
     cr_assert_eq(it.of(deadly_prompt, start + 9 * second), verdict::sound);
 }
@@ -161,7 +228,7 @@
 Test(part_suspicions, answers_to_parts_without_crashes_cost_no_memory) {
     suspicions_fixture it;
     for (int i = 0; i < 1000; ++i)
-        it.suspicions.on_answer({"p" + std::to_string(i)}, start + i * ms);
+        it.suspicions.on_answer({"p" + std::to_string(i)}, complete, start + i * ms);
     cr_assert(it.suspicions.empty());
 }
 
@@ -194,13 +261,16 @@
             now += 137 * ms;
             auto& one = it % 2 == 0 ? a : b;
             parts prompt = {it % 3 == 0 ? "p" : "q", "r"};
-            if (it % 8 < 5)
-                one.on_crash(prompt, {++id, now});
+            auto reached = answer_progress::at_step(it / 8U % answer_progress::steps);
+            if (it % 8 < 4)
+                one.on_crash(prompt, {++id, now, reached});
+            else if (it % 8 < 5)
+                one.on_crash(prompt, {id, now, reached});
             else if (it % 8 < 7)
-                one.on_answer(prompt, now);
+                one.on_answer(prompt, reached, now);
             else {
-                one.on_crash({"p"}, {++id, now});
-                one.on_trial_failed("p", {id, now});
+                one.on_crash({"p"}, {++id, now, reached});
+                one.on_trial_failed("p", {id, now, reached});
             }
         }
         for (int round = 0; round < 3; ++round) {
--- a/test/part_world.h
+++ b/test/part_world.h
@@ -23,6 +23,8 @@
     using duration = coordination::duration;
     using instant = coordination::instant;
 
+    static constexpr duration ms = std::chrono::milliseconds(1);
+
     struct options {
         std::size_t instances = 8;
         std::size_t servers = 12;
@@ -32,15 +34,25 @@
         unsigned seed = 1;
         std::set<std::string> deadly = {"deadly"};
         bool repeated = false; ///< Deadly requests have no other part: one request comes again.
+        /// The answers to sound requests take up to this time, from their beginning to their end.
+        duration longest_answer{};
+        /// Deadly requests crash their server so long after their answer began; negative: in place
+        /// of its beginning.
+        duration crash_after = -ms;
+        double slowest = 1;           ///< Servers take up to so many times as long as the fastest.
+        int attempts = 1;             ///< A request that is lost is sent again at once.
+        std::size_t shared_parts = 4; ///< Number of the first parts.
     };
 
-    static constexpr duration ms = std::chrono::milliseconds(1);
     static constexpr duration second = std::chrono::seconds(1);
     static constexpr instant start{std::chrono::hours(1)};
 
     explicit part_world(options chosen) : options_(std::move(chosen)), random_(options_.seed) {
         instances_.resize(options_.instances);
         servers_.resize(options_.servers);
+        std::uniform_real_distribution<> slowness(1, options_.slowest);
+        for (auto& it : servers_)
+            it.slowness = slowness(random_);
     }
 
     void run(duration length) {
@@ -96,6 +108,23 @@
                                                       [&](auto at) { return at > from; }));
     }
 
+    /// \returns the requests with this part that instances in touch sent later than 3 s after the
+    /// fifth crash by one.
+    std::size_t late_sends_of(const std::string& part) const {
+        constexpr std::size_t tolerated = 5;
+        std::vector<instant> crashes;
+        for (const auto& [at, culprit] : culprits_) {
+            if (culprit == part)
+                crashes.push_back(at);
+        }
+        if (crashes.size() < tolerated)
+            return 0;
+        auto from = crashes[tolerated - 1] + contact;
+        return static_cast<std::size_t>(
+            std::count_if(sends_by_part_.begin(), sends_by_part_.end(),
+                          [&](const auto& it) { return it.second == part && it.first > from; }));
+    }
+
     std::size_t deadly_crashes() const { return deadly_crashes_.size(); }
 
     /// \returns the part of the sound requests that were sent on, of those since `reset_counts`.
@@ -103,7 +132,13 @@
         return static_cast<double>(sound_sent_) / static_cast<double>(std::max(1, sound_));
     }
 
-    void reset_counts() { sound_ = sound_sent_ = messages_ = 0; }
+    /// \returns the part of the sound requests whose answers came to their end, of those that did
+    /// or were lost.
+    double complete_share() const {
+        return static_cast<double>(complete_) / static_cast<double>(std::max(1, complete_ + lost_));
+    }
+
+    void reset_counts() { sound_ = sound_sent_ = messages_ = complete_ = lost_ = 0; }
 
     int messages() const { return messages_; }
 
@@ -111,7 +146,7 @@
     static constexpr duration step = 10 * ms;
     static constexpr double step_s = 0.01;
     static constexpr duration contact = 3 * second;
-    static constexpr duration answer_time = 300 * ms;
+    static constexpr duration first_answer_time = 300 * ms;
 
     struct instance {
         coordination::part_suspicions suspicions{{}};
@@ -124,16 +159,26 @@
     struct server {
         instant down_until;
         std::uint64_t run = 1;
+        double slowness = 1;
     };
 
     struct open_request {
         std::size_t instance = 0;
-        std::size_t server = 0;
-        std::uint64_t run = 0;
         std::vector<std::string> parts;
-        std::string trial_part;
-        instant answered_at;
         bool deadly = false;
+        int attempts = 0;
+        duration answer_length{};
+        std::string trial_part;
+        std::size_t server = 0;
+        std::uint64_t run = 0;
+        instant begins_at; ///< Its answer.
+        instant ends_at;   ///< Its answer, or the run of the server that it crashes.
+        coordination::answer_progress reported;
+
+        coordination::answer_progress progress(instant now) const {
+            return now < begins_at ? coordination::answer_progress()
+                                   : coordination::answer_progress::begun(now - begins_at);
+        }
     };
 
     struct news {
@@ -164,56 +209,96 @@
         auto i = random_number(instances_.size());
         if (!running(i))
             return;
-        std::vector<std::string> parts = {"first" + std::to_string(random_number(4)),
-                                          "second" + std::to_string(random_number(100))};
+        open_request made;
+        made.instance = i;
+        made.deadly = with_deadly;
+        made.parts = {"first" + std::to_string(random_number(options_.shared_parts)),
+                      "second" + std::to_string(random_number(100))};
         if (with_deadly && !options_.deadly.empty()) {
             auto it = options_.deadly.begin();
             std::advance(it, random_number(options_.deadly.size()));
             if (options_.repeated)
-                parts.clear();
-            parts.push_back(*it);
+                made.parts.clear();
+            made.parts.push_back(*it);
         }
+        if (options_.longest_answer > duration())
+            made.answer_length =
+                duration(random_() % static_cast<unsigned>(options_.longest_answer.count()));
         sound_ += with_deadly ? 0 : 1;
+        bool sent = try_send(std::move(made));
+        sound_sent_ += sent && !with_deadly ? 1 : 0;
+    }
+
+    /// \returns whether the guard lets the request pass, perhaps as a trial.
+    bool pass_guard(open_request& it) {
         using verdict = coordination::part_assessment::verdict;
-        auto& own = instances_[i].suspicions;
-        auto assessed = own.assess(parts, now_);
+        auto& own = instances_[it.instance].suspicions;
+        auto assessed = own.assess(it.parts, now_);
         if (assessed.result == verdict::blocked)
-            return;
-        std::string trial_part;
-        if (assessed.result == verdict::trial) {
-            auto& at = instances_[decider(i, assessed.part)].suspicions;
-            at.merge(assessed.part, own.evidence(assessed.part), now_);
-            bool granted = at.try_start_trial(assessed.part, now_);
-            own.merge(assessed.part, at.evidence(assessed.part), now_);
-            if (!granted)
-                return;
-            trial_part = assessed.part;
-        }
-        auto chosen = random_number(servers_.size());
-        for (std::size_t n = 0; n < servers_.size() && servers_[chosen].down_until > now_; ++n)
-            chosen = (chosen + 1) % servers_.size();
-        if (servers_[chosen].down_until > now_)
-            return;
-        sound_sent_ += with_deadly ? 0 : 1;
-        if (with_deadly && instances_[i].disturbed_until <= now_)
+            return false;
+        if (assessed.result == verdict::sound)
+            return true;
+        auto& at = instances_[decider(it.instance, assessed.part)].suspicions;
+        at.merge(assessed.part, own.evidence(assessed.part), now_);
+        bool granted = at.try_start_trial(assessed.part, now_);
+        own.merge(assessed.part, at.evidence(assessed.part), now_);
+        it.trial_part = granted ? assessed.part : std::string();
+        return granted;
+    }
+
+    bool try_send(open_request it) {
+        if (!pass_guard(it))
+            return false;
+        it.server = random_number(servers_.size());
+        for (std::size_t n = 0; n < servers_.size() && servers_[it.server].down_until > now_; ++n)
+            it.server = (it.server + 1) % servers_.size();
+        const auto& target = servers_[it.server];
+        if (target.down_until > now_)
+            return false;
+        if (it.deadly && instances_[it.instance].disturbed_until <= now_) {
             deadly_sends_.push_back(now_);
-        open_.push_back({i, chosen, servers_[chosen].run, std::move(parts), std::move(trial_part),
-                         now_ + answer_time, with_deadly});
+            sends_by_part_.emplace_back(now_, it.parts.back());
+        }
+        auto slow = [&](duration time) {
+            return duration(std::llround(static_cast<double>(time.count()) * target.slowness));
+        };
+        bool crashes = is_deadly(it);
+        bool begins = !crashes || options_.crash_after >= duration();
+        it.run = target.run;
+        it.begins_at = begins ? now_ + slow(first_answer_time) : instant::max();
+        it.ends_at = now_ + slow(first_answer_time);
+        if (begins)
+            it.ends_at += slow(crashes ? options_.crash_after : it.answer_length);
+        it.reported = {};
+        ++it.attempts;
+        open_.push_back(std::move(it));
+        return true;
     }
 
     void crash(std::size_t at) {
         auto crashed_run = servers_[at].run++;
         servers_[at].down_until = now_ + 2 * second;
-        coordination::crash_mark mark{at * 1'000'000 + crashed_run, now_};
+        coordination::crash_mark mark{at * 1'000'000 + crashed_run, now_, {}};
+        std::vector<open_request> lost;
         std::erase_if(open_, [&](const auto& it) {
             if (it.server != at || it.run != crashed_run)
                 return false;
+            lost.push_back(it);
+            return true;
+        });
+        for (const auto& it : lost) {
             auto& own = instances_[it.instance].suspicions;
+            bool trial = !it.trial_part.empty() && own.is_suspected(it.trial_part);
+            mark.reached = it.progress(now_);
             own.on_crash(it.parts, mark);
-            if (!it.trial_part.empty())
+            if (trial)
                 own.on_trial_failed(it.trial_part, mark);
-            return true;
-        });
+        }
+        for (auto& it : lost) {
+            it.trial_part.clear();
+            bool sent = it.attempts < options_.attempts && running(it.instance) && try_send(it);
+            lost_ += sent || it.deadly ? 0 : 1;
+        }
     }
 
     bool is_deadly(const open_request& it) const {
@@ -224,18 +309,23 @@
     void finish_requests() {
         std::set<std::size_t> crashed;
         for (const auto& it : open_) {
-            if (it.answered_at <= now_ && is_deadly(it))
-                crashed.insert(it.server);
+            if (it.ends_at <= now_ && is_deadly(it) && crashed.insert(it.server).second)
+                culprits_.emplace_back(now_, it.parts.back());
         }
         for (auto at : crashed) {
             deadly_crashes_.push_back(now_);
             crash(at);
         }
-        std::erase_if(open_, [&](const auto& it) {
-            if (it.answered_at > now_ || !running(it.instance))
+        std::erase_if(open_, [&](auto& it) {
+            if (it.begins_at > now_ || !running(it.instance))
                 return false;
-            instances_[it.instance].suspicions.on_answer(it.parts, now_);
-            return true;
+            bool complete = it.ends_at <= now_ && !is_deadly(it);
+            auto reached = complete ? coordination::answer_progress::complete() : it.progress(now_);
+            if (reached > it.reported)
+                instances_[it.instance].suspicions.on_answer(it.parts, reached, now_);
+            it.reported = reached;
+            complete_ += complete && !it.deadly ? 1 : 0;
+            return complete;
         });
     }
 
@@ -282,9 +372,13 @@
     std::vector<news> sent_;
     std::vector<instant> deadly_crashes_;
     std::vector<instant> deadly_sends_;
+    std::vector<std::pair<instant, std::string>> culprits_;      ///< Time and part of each crash.
+    std::vector<std::pair<instant, std::string>> sends_by_part_; ///< Of deadly requests.
     int sound_ = 0;
     int sound_sent_ = 0;
     int messages_ = 0;
+    int complete_ = 0;
+    int lost_ = 0;
 };
 
 } // namespace azureyoke
--- a/test/scripted_guard.h
+++ b/test/scripted_guard.h
@@ -20,7 +20,11 @@
         done(grants_trials, wait);
     }
 
-    void on_answer(const std::vector<std::string>& parts) override { answered.push_back(parts); }
+    void on_answer(const std::vector<std::string>& parts,
+                   coordination::answer_progress reached) override {
+        answered.push_back(parts);
+        progress.push_back(reached);
+    }
 
     void on_lost(const app::lost_request& request, crash_handler on_crash) override {
         lost.push_back(request);
@@ -34,6 +38,7 @@
     coordination::duration wait = std::chrono::seconds(2);
     std::vector<std::string> asked;
     std::vector<std::vector<std::string>> answered;
+    std::vector<coordination::answer_progress> progress; ///< Of each in `answered`.
     std::vector<app::lost_request> lost;
 };
 
