An instance waits for an address in use in place of ending

Every next process had ended with code 69 and one plain line, and nothing starts it again. The same when another process held the address of callers or of peers.

Cause: an address in use was an error that ended the process, though the former process holds its addresses while it drains.

SIGTERM ends a process that waits. azureyoke serve starts in the same way. Errors name the system's reason.

That this is the users' case is suspected, not proved.

--- a/azureyoke/src/app/commands.cpp
+++ b/azureyoke/src/app/commands.cpp
@@ -83,11 +83,7 @@
     start_logging();
     transport::event_loop loop;
     instance server(loop, *settings);
-    auto started = server.start();
-    if (!started) {
-        std::cerr << "azureyoke: " << started.error().what << "\n";
-        return exit_code::unavailable;
-    }
+    server.start();
     for (int number : {SIGTERM, SIGINT})
         loop.on_signal(number, [&] { server.drain(); });
     loop.run();
--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -25,6 +25,8 @@
         {event_id::drain_finished, "drain_finished"},
         {event_id::settings_reloaded, "settings_reloaded"},
         {event_id::settings_refused, "settings_refused"},
+        {event_id::address_in_use, "address_in_use"},
+        {event_id::addresses_bound, "addresses_bound"},
         {event_id::configuration_accepted, "configuration_accepted"},
         {event_id::configuration_refused, "configuration_refused"},
         {event_id::platform_unreachable, "platform_unreachable"},
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -15,6 +15,8 @@
     drain_finished = 1006,
     settings_reloaded = 1007,
     settings_refused = 1008,
+    address_in_use = 1009,
+    addresses_bound = 1010,
     configuration_accepted = 2001,
     configuration_refused = 2002,
     platform_unreachable = 2003,
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -75,9 +75,11 @@
               weights_, [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }, [this] { return registry_era_; },
               [this] { return operators_.busy_connections(); }}),
-      operators_(loop, {}, [this](const auto& exchange) {
-          exchange->reply(pages_.page(transport::path_of(exchange->request().target)));
-      }) {}
+      operators_(loop, {},
+                 [this](const auto& exchange) {
+                     exchange->reply(pages_.page(transport::path_of(exchange->request().target)));
+                 }),
+      binder_(loop, log_) {}
 
 forward_instance::~forward_instance() = default;
 
@@ -92,17 +94,18 @@
     return {status, {}, reason + "\n"};
 }
 
-transport::result<void> forward_instance::start() {
-    for (auto [server, at] :
-         {std::pair(&callers_, settings_.callers), std::pair(&readiness_, settings_.readiness),
-          std::pair(&operators_, settings_.operators)}) {
-        auto bound = server->listen(at);
-        if (!bound)
-            return tl::unexpected(bound.error());
-    }
-    auto peers = peers_.start();
-    if (!peers)
-        return tl::unexpected(peers.error());
+void forward_instance::start() {
+    auto listen = [](transport::front_server& server, const transport::address& at) {
+        return [&server, at] { return server.listen(at).map([](const auto& /*bound*/) {}); };
+    };
+    // Callers come last: they must not reach an instance that waits for another address.
+    binder_.start({listen(readiness_, settings_.readiness), listen(operators_, settings_.operators),
+                   [this] { return peers_.start().map([](const auto& /*bound*/) {}); },
+                   listen(callers_, settings_.callers)},
+                  [this] { on_bound(); });
+}
+
+void forward_instance::on_bound() {
     log_.write(event_id::instance_started, {{"incarnation", std::to_string(incarnation_)},
                                             {"data_centre", settings_.data_centre}});
     log_.write(event_id::listening, {{"callers", transport::to_string(settings_.callers)},
@@ -113,7 +116,6 @@
     weights_.start();
     streams_.start();
     housekeeping_timer_ = loop_.every(internal::housekeeping_period, [this] { housekeeping(); });
-    return {};
 }
 
 void forward_instance::on_policy(const policy_copy& copy) {
@@ -304,6 +306,11 @@
     draining_ = true;
     drain_began_ = loop_.now();
     log_.write(event_id::instance_stopping, {});
+    if (!binder_.bound()) { // nothing is open, and nobody knows this instance
+        log_.write(event_id::instance_stopped, {});
+        loop_.stop();
+        return;
+    }
     weights_.stop();
     callers_.close_after_answers();
     drain_timer_ = loop_.every(internal::drain_check_period, [this] { check_drained(); });
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "azureyoke/src/app/address_binder.h"
 #include "azureyoke/src/app/forward_pages.h"
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/app/part_service.h"
@@ -35,9 +36,8 @@
     forward_instance(forward_instance&&) = delete;
     forward_instance& operator=(forward_instance&&) = delete;
 
-    /// \brief Binds the addresses and starts the periodic work.
-    /// \returns the error if an address could not be bound.
-    transport::result<void> start();
+    /// \brief Binds the addresses, and waits for those in use. Then starts the periodic work.
+    void start();
     /// \brief Begins a graceful shutdown. The loop stops when every request has ended, or at the
     /// drain limit.
     void drain();
@@ -47,6 +47,7 @@
     void reload(const std::string& text);
 
 private:
+    void on_bound();
     void on_policy(const policy_copy& copy) override;
     /// A newer policy has come into force.
     void on_new_policy(const policy_copy& copy);
@@ -90,6 +91,7 @@
     transport::front_server readiness_;
     forward_pages pages_;
     transport::front_server operators_;
+    address_binder binder_;
     std::unique_ptr<transport::timer> housekeeping_timer_;
     std::unique_ptr<transport::timer> drain_timer_;
     bool registry_reachable_ = false;
--- a/azureyoke/src/app/instance.cpp
+++ b/azureyoke/src/app/instance.cpp
@@ -126,24 +126,26 @@
                  [this](const auto& exchange) { on_operator_request(exchange); }),
       pages_({self_, loop, metrics_, history_, configuration_, documents_, router_, peers_, shares_,
               rollout_, [this] { return ready(); }, [this] { return draining_; }}),
-      stalls_(loop, log_) {}
+      stalls_(loop, log_), binder_(loop, log_) {}
 
 instance::~instance() = default;
 
-transport::result<void> instance::start() {
+void instance::start() {
     start_time_ = loop_.now();
-    auto callers = callers_.listen(settings_.callers);
-    if (!callers)
-        return tl::unexpected(callers.error());
-    callers_address_ = *callers;
-    auto operators = operators_.listen(settings_.operators);
-    if (!operators)
-        return tl::unexpected(operators.error());
-    operators_address_ = *operators;
-    auto peers = peers_.listen(settings_.peers, *this);
-    if (!peers)
-        return tl::unexpected(peers.error());
-    peers_address_ = *peers;
+    auto keep = [](transport::address& bound) {
+        return [&bound](const transport::address& at) { bound = at; };
+    };
+    // Callers come last: they must not reach an instance that waits for another address.
+    binder_.start(
+        {[this, keep] {
+             return operators_.listen(settings_.operators).map(keep(operators_address_));
+         },
+         [this, keep] { return peers_.listen(settings_.peers, *this).map(keep(peers_address_)); },
+         [this, keep] { return callers_.listen(settings_.callers).map(keep(callers_address_)); }},
+        [this] { on_bound(); });
+}
+
+void instance::on_bound() {
     log_.write(event_id::instance_started, {{"incarnation", std::to_string(self_.incarnation)},
                                             {"data_centre", self_.data_centre}});
     audit_.add("instance_started", "incarnation " + std::to_string(self_.incarnation));
@@ -157,7 +159,6 @@
                               [this] { read_instance_list(); });
     read_instance_list();
     gossip_timer_ = loop_.every(internal::gossip_period, [this] { gossip(); });
-    return {};
 }
 
 void instance::read_instance_list() {
@@ -363,6 +364,11 @@
     draining_ = true;
     drain_start_ = loop_.now();
     log_.write(event_id::instance_stopping, {});
+    if (!binder_.bound()) { // nothing is open, and nobody knows this instance
+        log_.write(event_id::instance_stopped, {});
+        loop_.stop();
+        return;
+    }
     callers_.close_after_answers();
     rollout_.set_candidate(false);
     audit_.add("instance_leaving", "");
--- a/azureyoke/src/app/instance.h
+++ b/azureyoke/src/app/instance.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "azureyoke/src/app/address_binder.h"
 #include "azureyoke/src/app/audit_service.h"
 #include "azureyoke/src/app/caller_services.h"
 #include "azureyoke/src/app/configuration_service.h"
@@ -31,9 +32,8 @@
     instance(instance&&) = delete;
     instance& operator=(instance&&) = delete;
 
-    /// \brief Binds the addresses and starts the periodic work.
-    /// \returns the error when an address cannot be bound.
-    transport::result<void> start();
+    /// \brief Binds the addresses, and waits for those in use. Then starts the periodic work.
+    void start();
     /// \brief Begins a graceful shutdown. The loop stops when every request has ended, or at the
     /// drain limit.
     void drain();
@@ -64,6 +64,7 @@
     void on_members() override;
     void on_configuration(const std::shared_ptr<const state::document>& before,
                           const std::shared_ptr<const state::document>& after);
+    void on_bound();
     void check_drained();
     void leave_fleet();
     bool ready() const;
@@ -102,6 +103,7 @@
     int skipped_list_reads_ = 0;
     operator_pages pages_;
     stall_detector stalls_;
+    address_binder binder_;
     std::uint64_t next_id_ = 0;
     transport::instant start_time_;
     bool draining_ = false;
--- a/azureyoke/src/transport/datagram_socket.cpp
+++ b/azureyoke/src/transport/datagram_socket.cpp
@@ -1,6 +1,9 @@
 #include "azureyoke/src/transport/datagram_socket.h"
 
 #include <array>
+#include <cerrno>
+#include <utility>
+
 #include <unistd.h>
 
 #include <event2/event.h>
@@ -32,9 +35,12 @@
 result<address> datagram_socket::bind(const address& at) {
     auto bind_to = to_socket_address(at);
     fd_ = socket(bind_to.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd_ < 0 || ::bind(fd_, bind_to.get(), bind_to.length) != 0)
-        return tl::unexpected(
-            error{errc::bind_failed, "address " + to_string(at) + " is not free to bind", false});
+    if (fd_ < 0 || ::bind(fd_, bind_to.get(), bind_to.length) != 0) {
+        auto failure = bind_error(to_string(at), errno);
+        if (fd_ >= 0)
+            close(std::exchange(fd_, -1));
+        return tl::unexpected(failure);
+    }
     event_ =
         event_new(loop_.base(), fd_, EV_READ | EV_PERSIST, &datagram_socket::on_readable, this);
     event_add(event_, nullptr);
--- a/azureyoke/src/transport/error.h
+++ b/azureyoke/src/transport/error.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <system_error>
 
 #include <tl/expected.hpp>
 
@@ -18,6 +19,13 @@
     friend bool operator==(const error&, const error&) = default;
 };
 
+/// \returns the failure to bind an address, with the system's reason. Thread safe.
+inline error bind_error(const std::string& address, int code) {
+    return {errc::bind_failed,
+            "address " + address + " could not be bound: " + std::generic_category().message(code),
+            false};
+}
+
 template <class T>
 using result = tl::expected<T, error>;
 
--- a/azureyoke/src/transport/kj_loop.cpp
+++ b/azureyoke/src/transport/kj_loop.cpp
@@ -1,5 +1,7 @@
 #include "azureyoke/src/transport/kj_loop.h"
 
+#include <cerrno>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -197,8 +199,7 @@
                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
                                         bind_to.get(), static_cast<int>(bind_to.length));
     if (listener_ == nullptr)
-        return tl::unexpected(
-            error{errc::bind_failed, "address " + to_string(at) + " is not free to bind", false});
+        return tl::unexpected(bind_error(to_string(at), errno));
     return bound_address(evconnlistener_get_fd(listener_));
 }
 
--- a/azureyoke/src/transport/tcp_stream.cpp
+++ b/azureyoke/src/transport/tcp_stream.cpp
@@ -231,9 +231,12 @@
     if (fd_ >= 0)
         internal::set_option(fd_, SOL_SOCKET, SO_REUSEADDR, 1);
     if (fd_ < 0 || ::bind(fd_, bind_to.get(), bind_to.length) != 0 ||
-        ::listen(fd_, internal::accept_backlog) != 0)
-        return tl::unexpected(
-            error{errc::bind_failed, "address " + to_string(at) + " is not free to bind", false});
+        ::listen(fd_, internal::accept_backlog) != 0) {
+        auto failure = bind_error(to_string(at), errno);
+        if (fd_ >= 0)
+            close(std::exchange(fd_, -1));
+        return tl::unexpected(failure);
+    }
     event_ = event_new(loop_.base(), fd_, EV_READ | EV_PERSIST, &tcp_listener::on_acceptable, this);
     event_add(event_, nullptr);
     return bound_address(fd_);
