--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -80,8 +80,9 @@
 class scripted_server {
 public:
     struct answer {
-        std::string bytes;  ///< `ID` is replaced by the request's id.
-        bool close = false; ///< Closes the connection after the bytes.
+        std::string bytes;     ///< `ID` is replaced by the request's id.
+        bool close = false;    ///< Closes the connection after the bytes.
+        bool in_bytes = false; ///< Sends a byte in each turn of the loop.
     };
 
     explicit scripted_server(transport::event_loop& loop)
@@ -131,12 +132,24 @@
             for (auto at = next.bytes.find("ID"); at != std::string::npos;
                  at = next.bytes.find("ID"))
                 next.bytes.replace(at, 2, id);
+            if (next.in_bytes) {
+                send_byte(next.bytes, 0);
+                return;
+            }
             stream->write(next.bytes);
             if (next.close)
                 owner.loop_.defer([this] { stream.reset(); });
         }
 
+        void send_byte(const std::string& bytes, std::size_t at) {
+            stream->write(bytes.substr(at, 1));
+            if (at + 1 < bytes.size())
+                byte_timer = owner.loop_.after(std::chrono::milliseconds(1),
+                                               [this, bytes, at] { send_byte(bytes, at + 1); });
+        }
+
         scripted_server& owner;
+        std::unique_ptr<transport::timer> byte_timer;
         transport::http_reader reader;
         std::unique_ptr<transport::tcp_stream> stream;
     };
