An instance that ends answers its open requests

Cause: at the drain limit the process closed what was open.

Change: each open request is answered then, 502 when it may have run and 503 when it was not passed on; a begun answer breaks off in a way that callers see. An answer that ends with its connection is reset wherever its server closes.

--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -45,6 +45,16 @@
            exchange_->started() ? "its time is over" : "no answer in the route's time");
 }
 
+void forward_session::on_instance_ending() {
+    if (finished_)
+        return;
+    bool under_way = choice_.has_value();
+    if (under_way)
+        end_call(call_outcome::cancelled);
+    refuse(under_way || may_have_run_ ? 502 : 503, "this instance ends before the answer is whole",
+           min_retry_after_s);
+}
+
 void forward_session::on_caller_closed() {
     if (finished_)
         return;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -333,6 +333,7 @@
     if (!idle && waited < limit)
         return;
     auto running_timer = std::move(drain_timer_);
+    callers_.end_answers();
     streams_.leave();
     peers_.leave();
     log_.write(event_id::drain_finished,
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -33,6 +33,10 @@
     if (!admit())
         return;
     exchange_->on_closed([self = shared_from_this()] { self->on_caller_closed(); });
+    exchange_->on_ending([weak = weak_from_this()] {
+        if (auto self = weak.lock())
+            self->on_instance_ending();
+    });
     deadline_timer_ =
         services_.loop.after(deadline_ - services_.loop.now(), [this] { on_deadline(); });
     services_.state.retry_budget(pool_).on_request(services_.loop.now());
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -38,6 +38,7 @@
     void on_end() override;
     void on_failure(const transport::error& ec) override;
 
+    void on_instance_ending();
     bool admit();
     bool authenticate();
     bool charge_rate_limit();
--- a/azureyoke/src/transport/front_connection.cpp
+++ b/azureyoke/src/transport/front_connection.cpp
@@ -157,7 +157,11 @@
     server_.remove(this);
     if (exchange_ != nullptr) {
         auto exchange = std::move(exchange_);
+        // The end of the connection would look like the end of such an answer.
+        if (exchange->started_ && exchange->ends_by_close_)
+            reset_on_close();
         exchange->connection_ = nullptr;
+        exchange->on_ending_ = nullptr;
         exchange->on_drained_ = nullptr;
         if (auto callback = std::exchange(exchange->on_closed_, nullptr))
             callback();
@@ -165,6 +169,14 @@
     server_.loop_.defer([guard] {});
 }
 
+void front_connection::end_answer() {
+    auto exchange = exchange_;
+    if (exchange == nullptr)
+        return;
+    if (auto callback = std::exchange(exchange->on_ending_, nullptr))
+        callback();
+}
+
 void front_connection::enforce_timeouts(instant now) {
     auto waited = now - wait_started_;
     if (closing_) {
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -33,6 +33,8 @@
     /// request can be read.
     void answer_ended();
     void close();
+    /// \brief Tells the handler of an open request that its answer must end now.
+    void end_answer();
     /// \brief Closes the connection, or answers 408, when a timeout has expired.
     void enforce_timeouts(instant now);
 
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -70,6 +70,7 @@
 
 front_connection* front_exchange::detach() {
     on_closed_ = nullptr;
+    on_ending_ = nullptr;
     on_drained_ = nullptr;
     return std::exchange(connection_, nullptr);
 }
@@ -204,6 +205,12 @@
     connections_.erase(connection);
 }
 
+void front_server::end_answers() {
+    auto connections = connections_; // copied, since an answer that ends may close its connection
+    for (auto& [raw, it] : connections)
+        it->end_answer();
+}
+
 void front_server::close_idle() {
     auto connections = connections_; // copied, since close() removes the connection
     for (auto& [raw, it] : connections) {
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -76,6 +76,9 @@
     /// \brief Sets the callback for a caller that disconnects before the answer has ended.
     void on_closed(std::function<void()> callback) { on_closed_ = std::move(callback); }
 
+    /// \brief Sets the callback for a server that ends: the answer must end now.
+    void on_ending(std::function<void()> callback) { on_ending_ = std::move(callback); }
+
     /// \brief Sets the callback that runs when all output has been sent.
     void on_drained(std::function<void()> callback) { on_drained_ = std::move(callback); }
 
@@ -88,6 +91,7 @@
     bool accepts_chunks_;
     instant received_;
     std::function<void()> on_closed_;
+    std::function<void()> on_ending_;
     std::function<void()> on_drained_;
     bool started_ = false;
     bool sends_chunks_ = false;
@@ -124,6 +128,9 @@
     /// \brief Makes every later answer carry `Connection: close`, and closes its connection.
     void close_after_answers() { closing_ = true; }
 
+    /// \brief Tells the handlers of open requests that their answers must end now.
+    void end_answers();
+
     /// \brief Closes the connections on which no request is being read or answered.
     void close_idle();
 
--- a/test/front_server_test.cpp
+++ b/test/front_server_test.cpp
@@ -170,6 +170,24 @@
 
 } // namespace
 
+// Guards against an answer without length and chunks that looks complete since its server ended.
+Test(front_server, answer_that_ends_with_its_connection_is_reset_when_the_server_ends) {
+    transport::event_loop loop;
+    std::shared_ptr<transport::front_exchange> open;
+    auto server = std::make_unique<transport::front_server>(loop, transport::front_limits(),
+                                                            [&](const auto& exchange) {
+                                                                open = exchange;
+                                                                exchange->start(200, {});
+                                                                exchange->write("half");
+                                                            });
+    auto at = *server->listen({"127.0.0.1", 0});
+    simple_client client(loop, at, "GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+    server.reset();
+    while (!client.ended)
+        loop.run_once(true);
+    cr_assert(client.reset);
+}
+
 Test(front_server, connections_made_before_listening_stops_are_answered_and_later_ones_refused) {
     server_fixture it;
     std::vector<std::unique_ptr<delayed_client>> early;
--- a/test/scripted_guard.h
+++ b/test/scripted_guard.h
@@ -17,7 +17,10 @@
 
     void acquire_trial(const std::string& part, trial_handler done) override {
         asked.push_back(part);
-        done(grants_trials, wait);
+        if (answers_trials)
+            done(grants_trials, wait);
+        else
+            unanswered.push_back(std::move(done));
     }
 
     void on_answer(const std::vector<std::string>& parts,
@@ -34,6 +37,8 @@
 
     coordination::part_assessment assessment;
     bool grants_trials = false;
+    bool answers_trials = true;
+    std::vector<trial_handler> unanswered;
     bool confirms_crashes = true;
     coordination::duration wait = std::chrono::seconds(2);
     std::vector<std::string> asked;
