Bytes of a caller are parsed in the order in which they came

Cause: after an answer the bytes kept back are parsed from the loop, and newer bytes that were ready in the same turn were parsed before them. It is one way in which a request that ran can get the refusal of another (suspected for the users' reports of REFUSED and TWICE, not proved).

Change: while bytes are kept back, newer ones are appended to them. Such a connection counts as busy.

--- a/azureyoke/src/transport/front_connection.cpp
+++ b/azureyoke/src/transport/front_connection.cpp
@@ -29,7 +29,8 @@
     if (closed_ || closing_)
         return;
     auto guard = shared_from_this();
-    if (exchange_ != nullptr) {
+    // Pending input without an open request is about to be parsed, and comes first.
+    if (exchange_ != nullptr || !pending_input_.empty()) {
         if (pending_input_.size() + bytes.size() > internal::max_pending_input_bytes)
             close();
         else
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -39,7 +39,8 @@
     void enforce_timeouts(instant now);
 
     bool busy() const {
-        return exchange_ != nullptr || !reader_.at_boundary() || stream_.unwritten() > 0;
+        return exchange_ != nullptr || !reader_.at_boundary() || !pending_input_.empty() ||
+               stream_.unwritten() > 0;
     }
 
 private:
@@ -59,7 +60,7 @@
     http_reader reader_;
     http_head head_;
     std::string body_;
-    std::string pending_input_; ///< Input received while a request is being answered.
+    std::string pending_input_; ///< Input that was not parsed yet, in the order it came.
     std::shared_ptr<front_exchange> exchange_;
     instant wait_started_; ///< Start of the current wait for a request, its head or its body.
     bool keep_alive_ = true;
