--- a/test/forward_part_test.cpp
+++ b/test/forward_part_test.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 const std::string good = "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nContent-Length: 4\r\n\r\ndone";
+const std::string begun_stream =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "11\r\nid: 1\ndata: one\n\n\r\n";
 const transport::http_fields with_part = {{"id", "q1"}, {"part", "x"}};
 /// Of a request with the fields `with_part`.
 const std::vector<std::string> named_parts = {
@@ -69,16 +72,14 @@
     cr_assert(it.guard.lost.front().parts == named_parts);
 }
 
-// A crash after the trial was answered must not count as a failed trial.
+// Guards against a trial whose leave is used once more, for the send that takes its stream up.
 Test(forward_part, answered_trial_is_over_when_its_stream_goes_on_elsewhere) {
     auto route = forward_fixture::route(execution_rule::stream, 3);
     route.resumable = true;
     forward_fixture it(route);
     it.guard.assessment = {verdict::trial, "p/x", {}};
     it.guard.grants_trials = true;
-    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-               "11\r\nid: 1\ndata: one\n\n\r\n",
-               true});
+    it.script({begun_stream, true});
     it.script({"", true});
     (void)it.fetch_answer(with_part);
     cr_assert_geq(it.guard.asked.size(), 2U, "the second send needs leave of its own");
@@ -122,9 +123,7 @@
     forward_fixture it(route);
     it.guard.assessment = {verdict::trial, "p/x", {}};
     it.guard.grants_trials = true;
-    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
-               "11\r\nid: 1\ndata: one\n\n\r\n",
-               true});
+    it.script({begun_stream, true});
     (void)it.fetch_answer(with_part);
     cr_assert_eq(it.guard.lost.size(), 1U);
     cr_assert_eq(it.guard.lost.front().trial_part, "p/x");
