Large requests are no longer refused for the fixed delay of small ones

Callers saw their largest prompts refused at once with "the wait would be longer than the caller's time", while servers could have answered in time.

Cause: one learned ratio for each server scaled the nominal time to first token. Small prompts, far more frequent, meet a delay that does not depend on their size; the ratio multiplied it by the size of large prompts, and only the answer to a large prompt could have corrected it.

Change: latency_model learns a fixed delay and a rate apart, and what was learned fades, so that a size which was refused is tried again. Refusals use it; the choice between servers is as before.

--- a/azureyoke/src/coordination/fleet_router.cpp
+++ b/azureyoke/src/coordination/fleet_router.cpp
@@ -126,8 +126,9 @@
         option.uncached_tokens + view.own.unprocessed_tokens + view.peers.unprocessed_tokens;
     double ms = static_cast<double>(pending_tokens) / settings_.tokens_per_ms +
                 running * settings_.running_request_ms + waiting * settings_.queued_request_ms;
-    option.estimate_ms = std::max(ms, min_estimate_ms) * view.latency_ratio;
-    option.cost = option.estimate_ms;
+    option.nominal_ms = std::max(ms, min_estimate_ms);
+    option.estimate_ms = view.latency.predict(option.nominal_ms, now);
+    option.cost = option.nominal_ms * view.latency_ratio;
     option.cost += recompute_cost(shared);
     if (option.server->data_centre != settings_.data_centre)
         option.cost += settings_.remote_penalty_ms;
@@ -195,6 +196,7 @@
     server_choice made;
     made.server = best.server->id;
     made.uncached_tokens = best.uncached_tokens;
+    made.nominal_first_answer_ms = best.nominal_ms;
     made.estimated_first_answer_ms = best.estimate_ms;
     made.weights = best.weights;
     find_cache_source(made, list, hashes_by_weights[made.weights], now);
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "azureyoke/src/coordination/fleet_directory.h"
+#include "azureyoke/src/coordination/latency_model.h"
 #include "azureyoke/src/coordination/member_unresponsive_timeout.h"
 #include "azureyoke/src/coordination/time.h"
 #include "azureyoke/src/state/fleet_server.h"
@@ -73,6 +74,7 @@
     bool fetch = false;       ///< The server may lack shared parts that can be fetched.
     std::string cache_source; ///< Server that has these parts cached; empty: unknown.
     bool save = false;        ///< The shared parts are worth saving.
+    double nominal_first_answer_ms = 0; ///< Time to first token at the nominal speed.
 
     friend bool operator==(const server_choice&, const server_choice&) = default;
 };
@@ -207,7 +209,8 @@
         instant backoff_until; ///< Respected even if all other servers fail.
         bool limits_rate = false;
         instant limited_until;    ///< As `backoff_until`, for the server's request rate.
-        double latency_ratio = 1; ///< Learned ratio of actual to estimated time to first token.
+        double latency_ratio = 1; ///< Learned ratio of actual to nominal time to first token.
+        latency_model latency;
         double error_share = 0;
         std::map<std::string, std::int64_t> weights;
     };
@@ -225,8 +228,9 @@
         instant usable_from;
         bool has_shared_prefix = false; ///< All shared parts are presumed cached there.
         std::int64_t uncached_tokens = 0;
-        double estimate_ms = 0; ///< Time to first token.
-        double cost = 0;        ///< The estimate with all penalties.
+        double nominal_ms = 0;  ///< Time to first token at the nominal speed.
+        double estimate_ms = 0; ///< The same as learned from the server's answers.
+        double cost = 0;        ///< Time to first token with all penalties.
     };
 
     std::vector<candidate> candidates(const fleet_directory& directory,
--- a/azureyoke/src/coordination/fleet_router_feedback.cpp
+++ b/azureyoke/src/coordination/fleet_router_feedback.cpp
@@ -18,14 +18,15 @@
 } // namespace
 } // namespace internal
 
-void fleet_router::on_first_answer(const server_choice& choice, duration took, instant /*now*/) {
+void fleet_router::on_first_answer(const server_choice& choice, duration took, instant now) {
     auto& view = views_[choice.server];
     view.own.unprocessed_tokens =
         std::max<std::int64_t>(0, view.own.unprocessed_tokens - choice.uncached_tokens);
     has_unreported_work_ = true;
-    double expected =
-        std::max(choice.estimated_first_answer_ms / view.latency_ratio, min_estimate_ms);
-    double ratio = to_seconds(took) * 1000 / expected;
+    double took_ms = to_seconds(took) * 1000;
+    double nominal_ms = std::max(choice.nominal_first_answer_ms, min_estimate_ms);
+    view.latency.observe(nominal_ms, took_ms, now);
+    double ratio = took_ms / nominal_ms;
     ratio = std::clamp(ratio, internal::min_latency_ratio, internal::max_latency_ratio);
     view.latency_ratio += internal::learning_rate * (ratio - view.latency_ratio);
 }
