The refusal of a request over its limit no longer counts the reserve as left

Just after a start on-call read "20 asked, 88364 left of 1000000": the level of the bucket was named, of which a tenth of the capacity is reserved for streams that are taken up. The text now names what the request may use.

--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -113,8 +113,8 @@
     auto text = [](double value) { return std::to_string(std::lround(value)); };
     refuse(429,
            "workspace \"" + workspace_->name + "\" has used its rate and burst: " + text(cost) +
-               " asked, " + text(limit->available(now)) + " left of " + text(limit->burst()) +
-               " at " + text(limit->rate()) + " a second",
+               " asked, " + text(std::max(0.0, limit->available(now, kind))) + " left of " +
+               text(limit->burst()) + " at " + text(limit->rate()) + " a second",
            bounded_retry_after(wait));
     return false;
 }
--- a/azureyoke/src/coordination/fleet_limit.cpp
+++ b/azureyoke/src/coordination/fleet_limit.cpp
@@ -54,8 +54,7 @@
 // A full bucket admits a request larger than its capacity and goes into debt, since such a request
 // would never be admitted otherwise.
 double fleet_limit::required_level(double cost, charge_kind kind) const {
-    double reserve = kind == charge_kind::new_work ? settings_.reserved_fraction * capacity() : 0.0;
-    return std::min(cost + reserve, capacity());
+    return std::min(cost + reserve(kind), capacity());
 }
 
 bool fleet_limit::try_acquire(double cost, instant now, charge_kind kind) {
--- a/azureyoke/src/coordination/fleet_limit.h
+++ b/azureyoke/src/coordination/fleet_limit.h
@@ -77,10 +77,11 @@
 
     double burst() const { return burst_; }
 
-    /// \returns the level of the bucket; below 0 after a request larger than the capacity.
-    double available(instant now) {
+    /// \returns what work of this kind may use of the bucket's level; below 0 after a request
+    /// larger than the capacity, and for new work while the reserve is not full.
+    double available(instant now, charge_kind kind = charge_kind::begun_work) {
         refill(now);
-        return level_;
+        return level_ - reserve(kind);
     }
 
     /// \brief Fraction of the rate that is not withheld for unresponsive members.
@@ -108,6 +109,12 @@
     /// Capacity + refill rate x window = rate x window + burst, so that no window exceeds the
     /// limit.
     double capacity() const;
+
+    /// \returns the part of the level that work of this kind must leave.
+    double reserve(charge_kind kind) const {
+        return kind == charge_kind::new_work ? settings_.reserved_fraction * capacity() : 0.0;
+    }
+
     /// \returns the level from which `cost` may be debited.
     double required_level(double cost, charge_kind kind) const;
     double fill_rate() const;
--- a/test/fleet_limit_test.cpp
+++ b/test/fleet_limit_test.cpp
@@ -103,6 +103,7 @@
     while (limit.try_acquire(10, now)) {
     }
     cr_assert_float_eq(limit.available(now), 0.1 * burst, 10);
+    cr_assert_lt(limit.available(now, charge_kind::new_work), 10);
     cr_assert(limit.seconds_until(10, now) > 0);
     cr_assert_eq(limit.seconds_until(10, now, charge_kind::begun_work), 0);
     double spent = 0;
