Streams whose server changed its version while they were sent are not joined

Callers could get events of two software versions in one stream.

Cause: a server that starts again under its id with another version gets a request a moment before its new registration is read here. When the first event came, the stream was bound to the version that was known when it was sent, although the newer registration had been read by then.

Change: the server's start at the time of sending is compared with the known one at the first event and when the stream breaks off. If the version changed in between, it is uncertain: the stream is not joined, its keepers are told, and an answer that would go on with a stream is dropped before its first event.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -134,6 +134,10 @@
 }
 
 void forward_session::forward_events(std::string_view piece) {
+    if (!first_answer_seen_ && continues_stream() && !software_is_certain()) {
+        drop_answer();
+        return;
+    }
     auto events = relay_.append(piece);
     if (relay_.exceeds_limit()) {
         on_failure({transport::errc::connection_lost, "an event without end", true});
@@ -145,8 +149,8 @@
     report_progress(progress());
     bool first_event = bound_stream_.empty() && !software_unknown_;
     if (first_event && request_info_.last_event.empty() && route_->resumable) {
-        software_unknown_ = !versions_were_current_;
-        if (versions_were_current_)
+        software_unknown_ = !versions_were_current_ || !software_is_certain();
+        if (!software_unknown_)
             bind_stream(request_info_.request_id, last_software_);
     }
     last_event_at_ = services_.loop.now();
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -303,6 +303,10 @@
         lost_sends_ += first_answer_seen_ ? 0 : 1;
         check_for_crash(false);
     }
+    if (first_answer_seen_ && !bound_stream_.empty() && !software_is_certain()) {
+        software_unknown_ = true;
+        services_.streams.on_uncertain(bound_stream_, pool_);
+    }
     end_call(ec.may_have_sent_bytes ? call_outcome::incomplete : call_outcome::unreachable);
     if (ec.may_have_sent_bytes)
         may_have_run_ = true;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -75,6 +75,11 @@
     /// Whether the server still has the software version that the stream is bound to. It may have
     /// changed while the request waited for a permit.
     bool may_continue_at(const state::fleet_server& server) const;
+    /// Whether the server has not started again with another software version since the current
+    /// request was sent, as far as known. If it has, the answer may come from either version.
+    bool software_is_certain() const;
+    /// Gives up the current answer, whose software version is uncertain, and tries other servers.
+    void drop_answer();
     void log_resumption(const std::string& software) const;
     forward_directive make_directive() const;
     /// Address of the cache store; empty when no pool has one.
--- a/azureyoke/src/app/forward_stream.cpp
+++ b/azureyoke/src/app/forward_stream.cpp
@@ -18,6 +18,20 @@
     return server.software == stream_software_ && services_.streams.versions_are_current();
 }
 
+bool forward_session::software_is_certain() const {
+    const auto* server = services_.state.directory.find(last_server_);
+    return server == nullptr || server->started_ms == last_started_ms_ ||
+           server->software == last_software_;
+}
+
+void forward_session::drop_answer() {
+    end_call(coordination::call_outcome::cancelled);
+    may_have_run_ = true;
+    query_.excluded.push_back(last_server_);
+    relay_.restart();
+    retry_or_refuse("the server may have another software version than the stream began on");
+}
+
 void forward_session::find_stream() {
     services_.streams.find(
         request_info_.resumed_request, pool_,
--- a/azureyoke/src/app/stream_service.cpp
+++ b/azureyoke/src/app/stream_service.cpp
@@ -133,6 +133,18 @@
     hand_over({{stream, binding}}, {});
 }
 
+void stream_service::on_uncertain(const std::string& stream, const std::string& pool) {
+    auto now = loop_.now();
+    auto known = bindings_.find(stream, now);
+    if (!known || known->pool != pool)
+        return;
+    coordination::stream_binding uncertain{pool, coordination::uncertain_software, known->until};
+    bindings_.add(stream, uncertain, now);
+    own_streams_changed_ = true;
+    if (has_several_versions(pool))
+        hand_over({{stream, uncertain}}, {});
+}
+
 void stream_service::on_complete(const std::string& stream) {
     bindings_.remove(stream);
     own_streams_.erase(stream);
@@ -151,7 +163,7 @@
     }
     auto known = bindings_.find(stream, now);
     if (known && known->pool == pool) {
-        end_question(number, {known->software, {}, false}, "known");
+        end_known(number, known->software);
         return;
     }
     pending.versions = versions_.of(pool);
@@ -182,6 +194,14 @@
     node.mapped().done(made);
 }
 
+void stream_service::end_known(std::uint64_t number, const std::string& software) {
+    if (software == coordination::uncertain_software)
+        end_question(number, {std::nullopt, "the stream's software version is uncertain", false},
+                     "uncertain");
+    else
+        end_question(number, {software, {}, false}, "known");
+}
+
 void stream_service::decide_unknown(std::uint64_t number) {
     auto found = pending_.find(number);
     if (found == pending_.end())
@@ -220,7 +240,7 @@
         return;
     auto& it = found->second;
     if (reply.software) {
-        end_question(reply.number, {reply.software, {}, false}, "known");
+        end_known(reply.number, *reply.software);
         return;
     }
     it.versions.insert(reply.versions.begin(), reply.versions.end());
--- a/azureyoke/src/app/stream_service.h
+++ b/azureyoke/src/app/stream_service.h
@@ -37,6 +37,7 @@
     bool versions_are_current() const override;
     void on_begun(const std::string& stream, const std::string& pool, const std::string& software,
                   coordination::duration remaining) override;
+    void on_uncertain(const std::string& stream, const std::string& pool) override;
     void on_complete(const std::string& stream) override;
     void find(const std::string& stream, const std::string& pool, handler done) override;
 
@@ -80,6 +81,8 @@
     /// Nobody knows the stream: decides by the versions that it may have begun on.
     void decide_unknown(std::uint64_t number);
     void end_question(std::uint64_t number, const answer& made, const char* result);
+    /// An instance knows the stream. `software` may be `uncertain_software`.
+    void end_known(std::uint64_t number, const std::string& software);
 
     transport::event_loop& loop_;
     const forward_settings& settings_;
--- a/azureyoke/src/coordination/stream_bindings.cpp
+++ b/azureyoke/src/coordination/stream_bindings.cpp
@@ -13,8 +13,11 @@
         expire(now);
     while (bindings_.size() >= settings_.max_bindings && !ends_.empty())
         drop_first();
-    if (bindings_.try_emplace(stream, binding).second)
+    auto [entry, inserted] = bindings_.try_emplace(stream, binding);
+    if (inserted)
         ends_.emplace(binding.until, stream);
+    else if (binding.software == uncertain_software)
+        entry->second.software = binding.software;
 }
 
 void stream_bindings::drop_first() {
--- a/azureyoke/src/coordination/stream_bindings.h
+++ b/azureyoke/src/coordination/stream_bindings.h
@@ -25,13 +25,18 @@
     friend bool operator==(const binding_settings&, const binding_settings&) = default;
 };
 
+/// Software version, which no server has, of a stream whose events may come from either of two.
+inline constexpr const char* uncertain_software = "\n";
+
 /// \brief The bindings of the streams that this instance saw or keeps for others, by the id of the
-/// request that got the first event. The first binding of a stream holds. Pure. Not thread safe.
+/// request that got the first event. The first binding of a stream holds, unless its version is
+/// found to be uncertain. Pure. Not thread safe.
 class stream_bindings {
 public:
     explicit stream_bindings(const binding_settings& settings) : settings_(settings) {}
 
-    /// \brief Adds a binding unless one is known. \pre `binding.until` is after `now`.
+    /// \brief Adds a binding. If one is known, only `uncertain_software` changes it. \pre
+    /// `binding.until` is after `now`.
     void add(const std::string& stream, const stream_binding& binding, instant now);
     /// \brief Forgets a stream that came to its end.
     void remove(const std::string& stream);
--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -41,6 +41,14 @@
             state->directory.put(entry, loop.now());
         }
     }
+
+    /// The registration of a server that started again under its id is read.
+    void restart(const std::string& id, const std::string& software) const {
+        auto entry = *state->directory.find(id);
+        ++entry.started_ms;
+        entry.software = software;
+        state->directory.put(entry, loop.now());
+    }
 };
 
 } // namespace
@@ -235,6 +243,59 @@
     }
 }
 
+// Guards against a server that starts again under its id with another version just before a request
+// reaches it: its registration is read after the request was sent.
+Test(forward_stream, stream_whose_server_changed_its_version_meanwhile_does_not_go_on) {
+    for (bool before_first_event : {true, false}) {
+        stream_fixture it;
+        it.set_software("v1", "v1");
+        auto& began = it.first_choice_of("q1");
+        bool is_first = &began == &it.first;
+        auto change = [&] { it.restart(is_first ? "a" : "b", "v2"); };
+        auto& other = it.other_of("q1");
+        other.script.push_back({concat({head, second_event, last_chunk})});
+        began.script.push_back({concat({head, first_event}), false, before_first_event});
+        auto timer = it.loop.after(std::chrono::milliseconds(20), change);
+        auto end = it.loop.after(std::chrono::milliseconds(400), [&] { began.close_all(); });
+        cr_assert_eq(it.fetch_answer().status, 0);
+        cr_assert(other.requests.empty());
+        cr_assert_eq(it.streams.begun.size(), before_first_event ? 0U : 1U);
+        cr_assert_eq(it.streams.uncertain.size(), before_first_event ? 0U : 1U);
+    }
+}
+
+// The same for the server at which a stream goes on.
+Test(forward_stream, events_of_a_server_that_changed_its_version_meanwhile_are_not_joined) {
+    stream_fixture it;
+    it.set_software("v1", "v1");
+    it.streams.reply = "v1";
+    auto& changed = it.first_choice_of("q2");
+    bool is_first = &changed == &it.first;
+    changed.script.push_back(
+        {concat({head, "1a\r\nid: 2\ndata: of version 2\n\n\r\n", last_chunk}), false, true});
+    it.other_of("q2").script.push_back({concat({head, second_event, last_chunk})});
+    auto timer = it.loop.after(std::chrono::milliseconds(20),
+                               [&] { it.restart(is_first ? "a" : "b", "v2"); });
+    auto answer = it.fetch_answer(take_up);
+    cr_assert_eq(answer.status, 200);
+    cr_assert_eq(answer.body, "id: 2\ndata: two\n\n");
+}
+
+// A server that starts again with the version that it had does not make its streams uncertain.
+Test(forward_stream, stream_goes_on_after_its_server_started_again_with_the_same_version) {
+    stream_fixture it;
+    it.set_software("v1", "v1");
+    auto& began = it.first_choice_of("q1");
+    bool is_first = &began == &it.first;
+    began.script.push_back({head + first_event});
+    it.other_of("q1").script.push_back({concat({head, second_event, last_chunk})});
+    auto timer = it.loop.after(std::chrono::milliseconds(50), [&] {
+        it.restart(is_first ? "a" : "b", "v1");
+        began.close_all();
+    });
+    cr_assert_eq(it.fetch_answer().status, 200);
+}
+
 Test(forward_stream, take_up_that_broke_off_does_not_go_on_where_versions_may_be_old) {
     for (const auto& fields : {take_up, nameless_take_up}) {
         stream_fixture it;
--- a/test/scripted_streams.h
+++ b/test/scripted_streams.h
@@ -18,6 +18,10 @@
         begun.emplace_back(stream, software);
     }
 
+    void on_uncertain(const std::string& stream, const std::string& /*pool*/) override {
+        uncertain.push_back(stream);
+    }
+
     void on_complete(const std::string& stream) override { completed.push_back(stream); }
 
     void find(const std::string& stream, const std::string& /*pool*/, handler done) override {
@@ -30,6 +34,7 @@
     bool current = true;
     std::vector<std::string> asked;
     std::vector<std::string> completed;
+    std::vector<std::string> uncertain;
     std::vector<std::pair<std::string, std::string>> begun;
 };
 
--- a/test/stream_service_test.cpp
+++ b/test/stream_service_test.cpp
@@ -190,6 +190,18 @@
     cr_assert_eq(it.find(3, "q"), "v1");
 }
 
+Test(stream_service, stream_whose_version_is_uncertain_is_taken_up_nowhere) {
+    stream_service_fixture it;
+    it.members[1]->streams.on_begun("q", "p", "v1", life);
+    it.wait(50 * ms);
+    it.members[1]->streams.on_uncertain("q", "p");
+    it.wait(50 * ms);
+    for (int i : {1, 2, 3})
+        cr_assert_eq(it.find(i, "q"), "none");
+    it.members.erase(1);
+    cr_assert_eq(it.find(2, "q"), "none");
+}
+
 Test(stream_service, stream_of_before_the_second_version_is_found_too) {
     stream_service_fixture it({"v1"});
     it.members[1]->streams.on_begun("q", "p", "v1", life);
