--- a/azureyoke/src/app/instance.cpp
+++ b/azureyoke/src/app/instance.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "azureyoke/src/app/completion_session.h"
+#include "azureyoke/src/app/instance_limits.h"
 #include "azureyoke/src/app/plain_session.h"
 
 namespace azureyoke::app {
@@ -36,32 +37,6 @@
         std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
-transport::http_client_limits client_limits(const instance_settings& settings) {
-    transport::http_client_limits limits;
-    limits.connect_timeout = std::chrono::milliseconds(settings.connect_timeout_ms);
-    limits.first_byte_timeout = std::chrono::milliseconds(settings.first_byte_timeout_ms);
-    limits.idle_timeout = std::chrono::milliseconds(settings.idle_timeout_ms);
-    return limits;
-}
-
-/// Requests to the platform are small. A short timeout keeps a slow answer from delaying decisions.
-transport::http_client_limits platform_limits() {
-    transport::http_client_limits limits;
-    limits.first_byte_timeout = std::chrono::seconds(3);
-    limits.idle_timeout = std::chrono::seconds(3);
-    return limits;
-}
-
-transport::front_limits server_limits(const instance_settings& settings) {
-    transport::front_limits limits;
-    limits.max_head_bytes = static_cast<std::size_t>(settings.max_header_bytes);
-    limits.max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes);
-    limits.head_timeout = std::chrono::milliseconds(settings.read_timeout_ms);
-    limits.body_timeout = limits.head_timeout;
-    limits.idle_timeout = limits.head_timeout;
-    return limits;
-}
-
 coordination::router_settings router_settings_of(const instance_settings& settings,
                                                  std::uint64_t incarnation) {
     coordination::router_settings result;
--- a/azureyoke/src/app/stream_registry.h
+++ b/azureyoke/src/app/stream_registry.h
@@ -29,8 +29,8 @@
     /// its caller may take it up again for `remaining`.
     virtual void on_begun(const std::string& stream, const std::string& pool,
                           const std::string& software, coordination::duration remaining) = 0;
-    /// \brief Events of the stream may come from another version than `on_begun` named: nobody takes
-    /// it up.
+    /// \brief Events of the stream may come from another version than `on_begun` named: nobody
+    /// takes it up.
     virtual void on_uncertain(const std::string& stream, const std::string& pool) = 0;
     /// \brief The stream came to its end: its caller does not take it up.
     virtual void on_complete(const std::string& stream) = 0;
