--- a/test/fleet_router_test.cpp
+++ b/test/fleet_router_test.cpp
@@ -330,3 +330,18 @@
     it.router.on_weights_change_ended(preferred);
     cr_assert_eq(it.router.choose(it.directory, query, start)->server, preferred);
 }
+
+// Guards against large prompts that are refused for the fixed delay which small ones meet.
+Test(fleet_router, large_prompt_is_expected_in_time_although_small_ones_meet_a_fixed_delay) {
+    router_fixture it(1);
+    auto now = start;
+    auto query = router_fixture::prompt("x");
+    query.parts = {{"own", 300}};
+    for (int i = 0; i < 100; ++i) {
+        auto choice = it.send(query, now);
+        now += 100 * ms;
+        it.answer(choice, now);
+    }
+    query.parts = {{"own", 40'000}};
+    cr_expect_lt(it.send(query, now).estimated_first_answer_ms, 1100);
+}
--- a/test/latency_model_test.cpp
+++ b/test/latency_model_test.cpp
@@ -6,8 +6,6 @@
 
 #include <criterion/criterion.h>
 
-#include "azureyoke/src/coordination/fleet_router.h"
-
 using namespace azureyoke;
 using namespace azureyoke::coordination;
 
@@ -94,27 +92,3 @@
                       load.rate, sent, large);
     }
 }
-
-Test(fleet_router, large_prompt_is_expected_in_time_although_small_ones_meet_a_fixed_delay) {
-    fleet_directory directory{directory_settings{}};
-    state::fleet_server server;
-    server.id = "s";
-    server.pool = "p";
-    server.slots = 16;
-    directory.put(server, start);
-    fleet_router router{fleet_router_settings{}};
-    auto now = start;
-    placement_query small;
-    small.pool = "p";
-    small.parts = {{"own", 300}};
-    for (int i = 0; i < 100; ++i) {
-        auto choice = *router.choose(directory, small, now);
-        router.on_sent(small, choice, now);
-        now += 100 * ms;
-        router.on_first_answer(choice, 100 * ms, now);
-        router.on_call_outcome(choice, call_outcome::answered, now);
-    }
-    placement_query large = small;
-    large.parts = {{"own", 40'000}};
-    cr_expect_lt(router.choose(directory, large, now)->estimated_first_answer_ms, 1100);
-}
