--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -12,8 +12,10 @@
     auto report = services_.dialect.read_answer(head);
     if (!report.request_id.empty() && report.request_id != request_info_.request_id)
         return answer_verdict::skip;
-    if (is_doubtful_refusal(head, report))
+    if (is_doubtful_refusal(head, report)) {
+        services_.measures.count("azureyoke_doubtful_refusals_total", "pool", pool_);
         return answer_verdict::reject;
+    }
     auto& router = services_.state.router;
     if (report.running)
         router.on_load_report(choice_->server, *report.running, report.waiting.value_or(0),
@@ -210,7 +212,7 @@
     case answer_mode::pass_through:
         if (ended_within_event()) {
             on_failure(
-                {transport::errc::connection_lost, "the stream ended within an event", true});
+                {transport::errc::connection_lost, "the stream ended within an event", true, true});
             return;
         }
         report_complete();
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -248,6 +248,7 @@
              std::to_string(std::lround(last_estimate_ms_)) + " ms");
     if (!relay_.last_id().empty() || !request_info_.last_event.empty())
         log_resumption(server->software);
+    run_left_behind_ = false;
     services_.state.router.on_sent(query_, *choice_, sent_at_);
     if (services_.state.server_limits.limit_of(last_server_))
         services_.measures.count("azureyoke_limited_sends_total", "backend_server", last_server_);
@@ -308,6 +309,7 @@
         services_.streams.on_uncertain(bound_stream_, pool_);
     }
     end_call(ec.may_have_sent_bytes ? call_outcome::incomplete : call_outcome::unreachable);
+    run_left_behind_ = ec.may_have_sent_bytes && !ec.ended_by_peer;
     if (ec.may_have_sent_bytes)
         may_have_run_ = true;
     else
@@ -352,6 +354,7 @@
              {"why", why},
              {"began", first_answer_seen_ ? "yes" : "no"},
              {"answered_ms", std::to_string(answered / std::chrono::milliseconds(1))},
+             {"left_behind", run_left_behind_ ? "yes" : "no"},
              {"parts", shared_parts_text()},
              {"left_out", std::to_string(left_out)}});
     if (try_acquire_retry()) {
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -171,6 +171,7 @@
     bool success_ = false;              ///< The current answer has a status 2xx.
     bool server_error_ = false;         ///< The current answer has status 500 or above.
     bool may_have_run_ = false;
+    bool run_left_behind_ = false; ///< This instance ended the last call; its run may go on.
     bool software_unknown_ = false; ///< The stream began, and may not go on at any server.
     bool finished_ = false;
     std::vector<history_step> steps_;
--- a/azureyoke/src/app/forward_stream.cpp
+++ b/azureyoke/src/app/forward_stream.cpp
@@ -27,6 +27,7 @@
 void forward_session::drop_answer() {
     end_call(coordination::call_outcome::cancelled);
     may_have_run_ = true;
+    run_left_behind_ = true;
     query_.excluded.push_back(last_server_);
     relay_.restart();
     retry_or_refuse("the server may have another software version than the stream began on");
@@ -63,6 +64,9 @@
 void forward_session::log_resumption(const std::string& software) const {
     const char* by = relay_.last_id().empty() ? "caller" : "instance";
     services_.measures.count("azureyoke_resumptions_total", "by", by);
+    const char* left_behind = run_left_behind_ ? "yes" : "no";
+    if (!relay_.last_id().empty())
+        services_.measures.count("azureyoke_moved_streams_total", "left_behind", left_behind);
     std::int64_t left_out = 0;
     if (services_.log_limiter.try_acquire(event_id::stream_resumed, sent_at_, left_out))
         services_.log.write(event_id::stream_resumed,
@@ -72,6 +76,7 @@
                              {"backend_server", last_server_},
                              {"software", software},
                              {"began_on", stream_software_},
+                             {"left_behind", left_behind},
                              {"left_out", std::to_string(left_out)}});
 }
 
--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -159,7 +159,8 @@
         }
         fail(stream_.may_have_sent_bytes() ? errc::connection_lost : errc::connect_failed,
              stream_.may_have_sent_bytes() ? "connection lost before the answer was whole"
-                                           : "no connection to " + to_string(to_));
+                                           : "no connection to " + to_string(to_),
+             true);
     }
 
     void on_head(http_head head) override {
@@ -219,14 +220,14 @@
         sink->on_end();
     }
 
-    void fail(errc code, const std::string& message) {
+    void fail(errc code, const std::string& message, bool ended_by_peer = false) {
         if (closed_)
             return;
         auto sink = std::exchange(sink_, nullptr);
         bool any_sent = stream_.may_have_sent_bytes() || last_call_number_ > 1;
         close();
         if (sink != nullptr)
-            sink->on_failure({code, message, any_sent});
+            sink->on_failure({code, message, any_sent, ended_by_peer});
     }
 
     std::shared_ptr<backend_pool*> pool_;
--- a/azureyoke/src/transport/error.h
+++ b/azureyoke/src/transport/error.h
@@ -15,6 +15,8 @@
     std::string what;
     /// False only if no byte of the request can have reached the peer.
     bool may_have_sent_bytes = true;
+    /// The peer ended the connection, as opposed to an end that this side chose.
+    bool ended_by_peer = false;
 
     friend bool operator==(const error&, const error&) = default;
 };
