--- a/azureyoke/src/transport/front_connection.cpp
+++ b/azureyoke/src/transport/front_connection.cpp
@@ -146,7 +146,9 @@
     }
 }
 
-void front_connection::on_end(bool /*reset*/) {
+void front_connection::on_end(bool reset) {
+    if (exchange_ != nullptr)
+        exchange_->was_reset_ = reset;
     close();
 }
 
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -51,6 +51,9 @@
     /// \returns true once the caller has disconnected or the whole answer has been written.
     bool finished() const { return connection_ == nullptr; }
 
+    /// \returns whether the caller reset its connection, as opposed to an orderly close.
+    bool was_reset() const { return was_reset_; }
+
     bool started() const { return started_; }
 
     /// \brief Sends a complete answer.
@@ -93,6 +96,7 @@
     std::function<void()> on_closed_;
     std::function<void()> on_ending_;
     std::function<void()> on_drained_;
+    bool was_reset_ = false;
     bool started_ = false;
     bool sends_chunks_ = false;
     bool ends_by_close_ = false; ///< The end of the body is marked only by closing the connection.
