A silent stream goes on at another server only after its run has ended

Cause: an instance that gives up on a server closes the connection and takes that for the end of the run. Only the server knows when the run ends. Change: where this instance ended the call (silence, an event without end, a server with another version), the server is asked for the requests that it works on until the request is not among them, another server has the address, or two connections in a row fail. A report may be a second old, so one that was made less than a second after the run had begun proves nothing. A stream that its server broke off moves at once, as before.

--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -33,6 +33,7 @@
     answer_discarded = 3006,
     outcome_unknown = 3007,
     answer_field_ignored = 3008,
+    run_ended = 3009,
     replica_ejected = 4001,
     replica_restarted = 4002,
     replica_report_missing = 4003,
--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -140,6 +140,7 @@
         drop_answer();
         return;
     }
+    run_began_ = true;
     auto events = relay_.append(piece);
     if (relay_.exceeds_limit()) {
         on_failure({transport::errc::connection_lost, "an event without end", true});
--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -116,6 +116,7 @@
     deadline_timer_.reset();
     answer_timer_.reset();
     call_.reset();
+    run_watch_.reset();
     auto* limit = workspace_ == nullptr ? nullptr : services_.state.find_limit(workspace_->name);
     if (limit != nullptr && charged_ > 0 && sends_ == 0)
         limit->refund(charged_);
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -54,10 +54,11 @@
       permits_(loop, settings_, state_, peers_, log_, log_limiter_, metrics_),
       parts_(loop, settings_, peers_, log_, log_limiter_, metrics_),
       streams_(loop, settings_, state_, peers_, dependencies_.records, log_, metrics_),
+      runs_(loop, dependencies_.runs, log_, log_limiter_, metrics_),
       services_{settings_, loop_,    backends_,    dependencies_.dialect,
                 state_,    log_,     log_limiter_, metrics_,
                 history_,  permits_, parts_,       streams_,
-                false},
+                runs_,     false},
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -10,6 +10,7 @@
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
 #include "azureyoke/src/app/policy_service.h"
+#include "azureyoke/src/app/run_watch_service.h"
 #include "azureyoke/src/app/stream_service.h"
 #include "azureyoke/src/app/weights_service.h"
 
@@ -20,6 +21,7 @@
     fleet_registry& registry;
     record_store& records;
     server_order_client& orders;
+    run_list_client& runs;
     const forward_dialect& dialect;
 };
 
@@ -85,6 +87,7 @@
     permit_service permits_;
     part_service parts_;
     stream_service streams_;
+    run_watch_service runs_;
     forward_services services_;
     weights_service weights_;
     transport::front_server callers_;
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -117,6 +118,30 @@
                          std::function<void(std::optional<server_observation>)> done) = 0;
 };
 
+/// \brief The requests that a server works on.
+struct run_list {
+    enum class source {
+        report,      ///< The server's report, which may be about a second old.
+        replaced,    ///< Another server has the address.
+        unreachable, ///< No connection could be made.
+        unanswered   ///< A connection was made, but no usable report came.
+    };
+
+    source from = source::unanswered;
+    std::set<std::string> requests; ///< Their ids, if `from` is `report`.
+
+    friend bool operator==(const run_list&, const run_list&) = default;
+};
+
+/// \brief Asks backend servers which requests they work on. Not thread safe.
+class run_list_client {
+public:
+    virtual ~run_list_client() = default;
+    /// \brief `done` is called exactly once, possibly before this returns.
+    virtual void list_runs(const std::string& server, const std::string& address,
+                           std::function<void(const run_list&)> done) = 0;
+};
+
 /// \brief Fields of a caller's request that decide how it is forwarded.
 struct request_info {
     std::string request_id;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -239,6 +239,7 @@
     answer_mode_ = answer_mode::pass_through;
     buffered_ = {};
     last_server_ = choice_->server;
+    last_address_ = server->address;
     last_started_ms_ = server->started_ms;
     last_software_ = server->software;
     last_estimate_ms_ = choice_->estimated_first_answer_ms;
@@ -248,6 +249,7 @@
              std::to_string(std::lround(last_estimate_ms_)) + " ms");
     if (!relay_.last_id().empty() || !request_info_.last_event.empty())
         log_resumption(server->software);
+    run_began_ = false;
     run_left_behind_ = false;
     services_.state.router.on_sent(query_, *choice_, sent_at_);
     if (services_.state.server_limits.limit_of(last_server_))
@@ -276,6 +278,7 @@
     // Reading from the server may be paused while the caller is slow.
     bool caller_reads = exchange_->unwritten() == 0;
     if (gap >= limit && caller_reads) {
+        run_began_ = true;
         on_failure({transport::errc::timed_out,
                     "no event for " + std::to_string(gap / std::chrono::milliseconds(1)) + " ms",
                     true});
@@ -319,7 +322,7 @@
     retry_or_refuse(ec.what);
 }
 
-bool forward_session::try_acquire_retry() const {
+bool forward_session::may_retry() const {
     // A request that was lost twice before its answer, once in a crash, may be the cause.
     if (lost_sends_ > 1 && crashes_ > 0)
         return false;
@@ -328,9 +331,13 @@
     if (continues_stream() && (software_unknown_ || !services_.streams.versions_are_current()))
         return false;
     bool safe = exchange_->started() ? may_resume : !may_have_run_ || repeats;
-    auto& state = services_.state;
     return safe && !exchange_->finished() && possible_runs_ < route_->max_attempts &&
-           sends_ < route_->max_attempts + max_unrun_sends && remaining_ms() > min_send_time_ms &&
+           sends_ < route_->max_attempts + max_unrun_sends && remaining_ms() > min_send_time_ms;
+}
+
+bool forward_session::try_acquire_retry() const {
+    auto& state = services_.state;
+    return may_retry() &&
            state.retry_budget(pool_).try_acquire(state.instances, services_.loop.now());
 }
 
@@ -357,6 +364,14 @@
              {"left_behind", run_left_behind_ ? "yes" : "no"},
              {"parts", shared_parts_text()},
              {"left_out", std::to_string(left_out)}});
+    bool stream = route_->rule == state::execution_rule::stream;
+    if (stream && run_left_behind_ && run_began_ && may_retry())
+        await_run_end(why);
+    else
+        retry_now_or_refuse(why);
+}
+
+void forward_session::retry_now_or_refuse(const std::string& why) {
     if (try_acquire_retry()) {
         dispatch();
         return;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -104,10 +104,15 @@
     void reply_buffered();
     void on_not_run();
     void retry_or_refuse(const std::string& why);
+    void retry_now_or_refuse(const std::string& why);
     /// The ids of the prompt's parts but the last, separated by commas.
     std::string shared_parts_text() const;
+    /// Whether the request may be sent again, if the pool's budget allows it.
+    bool may_retry() const;
     /// Takes a retry from the pool's budget if the request may be sent again.
     bool try_acquire_retry() const;
+    /// Waits until the last server has stopped working on the request, and then retries.
+    void await_run_end(const std::string& why);
     /// Fails the call if the stream has sent no event for too long; otherwise checks again later.
     void check_event_gap();
     void on_deadline();
@@ -148,6 +153,7 @@
     transport::http_response buffered_;
     coordination::event_relay relay_;
     std::string last_server_;
+    std::string last_address_;               ///< Of `last_server_` when the request was sent.
     std::vector<std::string> tried_servers_; ///< To which this request was sent.
     std::string last_software_;              ///< Software version of the last server used.
     std::string stream_software_; ///< Software version that the stream began on; empty: unknown.
@@ -171,7 +177,9 @@
     bool success_ = false;              ///< The current answer has a status 2xx.
     bool server_error_ = false;         ///< The current answer has status 500 or above.
     bool may_have_run_ = false;
+    bool run_began_ = false;       ///< Events of the last call came, or may have been made.
     bool run_left_behind_ = false; ///< This instance ended the last call; its run may go on.
+    std::unique_ptr<run_watcher::watch> run_watch_; ///< Of the last call's run.
     bool software_unknown_ = false; ///< The stream began, and may not go on at any server.
     bool finished_ = false;
     std::vector<history_step> steps_;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -13,6 +13,7 @@
 #include "azureyoke/src/app/part_guard.h"
 #include "azureyoke/src/app/permit_source.h"
 #include "azureyoke/src/app/request_history.h"
+#include "azureyoke/src/app/run_watcher.h"
 #include "azureyoke/src/app/stream_registry.h"
 #include "azureyoke/src/coordination/desired_weights.h"
 #include "azureyoke/src/coordination/fleet_directory.h"
@@ -78,6 +79,7 @@
     permit_source& permits;
     part_guard& parts;
     stream_registry& streams;
+    run_watcher& runs;
     bool refuse_all = false; ///< The instance is about to exit.
 };
 
--- a/azureyoke/src/app/forward_stream.cpp
+++ b/azureyoke/src/app/forward_stream.cpp
@@ -27,12 +27,28 @@
 void forward_session::drop_answer() {
     end_call(coordination::call_outcome::cancelled);
     may_have_run_ = true;
+    run_began_ = true;
     run_left_behind_ = true;
     query_.excluded.push_back(last_server_);
     relay_.restart();
     retry_or_refuse("the server may have another software version than the stream began on");
 }
 
+// A server may be slow to notice that the connection was closed, and work on meanwhile.
+void forward_session::await_run_end(const std::string& why) {
+    add_step("waits until " + last_server_ + " has stopped working on it");
+    auto began = first_answer_seen_ ? first_answer_at_ : services_.loop.now();
+    abandoned_run run{last_server_, last_address_, request_info_.request_id, began};
+    run_watch_ = services_.runs.await_end(run, [weak = weak_from_this(), why] {
+        auto self = weak.lock();
+        if (self == nullptr || self->finished_)
+            return;
+        self->run_watch_.reset();
+        self->run_left_behind_ = false;
+        self->retry_now_or_refuse(why);
+    });
+}
+
 void forward_session::find_stream() {
     services_.streams.find(
         request_info_.resumed_request, pool_,
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -10,6 +10,7 @@
 #include "azureyoke/src/transport/backend_fetch.h"
 #include "test/scripted_guard.h"
 #include "test/scripted_permits.h"
+#include "test/scripted_runs.h"
 #include "test/scripted_streams.h"
 
 namespace azureyoke {
@@ -176,6 +177,7 @@
     scripted_permits permits{loop};
     scripted_guard guard;
     scripted_streams streams;
+    scripted_runs run_ends{loop};
     std::unique_ptr<app::forward_state> state;
     std::unique_ptr<app::forward_services> services;
     std::unique_ptr<transport::front_server> front;
@@ -187,7 +189,7 @@
         state = std::make_unique<app::forward_state>(settings);
         services = std::make_unique<app::forward_services>(
             app::forward_services{settings, loop, backends, dialect, *state, log, log_limiter,
-                                  measures, history, permits, guard, streams, false});
+                                  measures, history, permits, guard, streams, run_ends, false});
         permits.router = &state->router;
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
