A call that is given up resets its connection

A server that reads an end of file as half a close, from a caller who still reads the answer, worked on for callers who had left, for streams that had moved and for calls past their time. Cause: a cancelled call closed its connection in good order. Change: a call that is given up, or whose answer is refused, resets its connection; idle connections and those whose answer is whole are closed in good order. backend_pool: two tests failed before.

--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -95,7 +95,7 @@
     void close_without_report() {
         auto guard = shared_from_this();
         auto sink = std::exchange(sink_, nullptr);
-        close();
+        abandon();
     }
 
     void pause(int call, bool paused) {
@@ -119,6 +119,14 @@
     }
 
 private:
+    /// Closes the connection during a call. A server may take an orderly close for a caller who
+    /// still reads the answer; a reset is what tells it that nobody does.
+    void abandon() {
+        if (!closed_)
+            stream_.reset_on_close();
+        close();
+    }
+
     void on_connected() override { connect_timer_.reset(); }
 
     void on_bytes(std::string_view bytes) override {
@@ -225,7 +233,7 @@
             return;
         auto sink = std::exchange(sink_, nullptr);
         bool any_sent = stream_.may_have_sent_bytes() || last_call_number_ > 1;
-        close();
+        abandon();
         if (sink != nullptr)
             sink->on_failure({code, message, any_sent, ended_by_peer});
     }
--- a/test/backend_pool_test.cpp
+++ b/test/backend_pool_test.cpp
@@ -70,3 +70,35 @@
     it.reset();
     cr_assert(watched.expired());
 }
+
+// Guards against servers that take the end of a cancelled call for a caller who still reads.
+Test(backend_pool, call_that_is_given_up_resets_its_connection) {
+    pool_fixture it;
+    it.server.script.clear();
+    bool failed = false;
+    transport::fetch(it.loop, it.pool, it.server.at(), {"GET", "/", {}, {}},
+                     std::chrono::milliseconds(50), [&](auto answer) { failed = !answer; });
+    while (it.server.resets + it.server.closes == 0)
+        it.loop.run_once(true);
+    cr_assert(failed);
+    cr_assert_eq(it.server.resets, 1);
+}
+
+Test(backend_pool, answer_that_is_not_http_resets_its_connection) {
+    pool_fixture it;
+    it.server.script = {{"garbage\r\n\r\n"}};
+    cr_assert_eq(it.fetch_concurrently(1), 0);
+    while (it.server.resets + it.server.closes == 0)
+        it.loop.run_once(true);
+    cr_assert_eq(it.server.resets, 1);
+}
+
+Test(backend_pool, idle_connection_is_closed_in_good_order) {
+    transport::backend_pool_limits limits;
+    limits.max_idle_time = transport::duration(0);
+    pool_fixture it(limits);
+    cr_assert_eq(it.fetch_concurrently(1), 1);
+    while (it.server.resets + it.server.closes == 0)
+        it.loop.run_once(true);
+    cr_assert_eq(it.server.closes, 1);
+}
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -106,6 +106,8 @@
 
     std::deque<answer> script;
     std::vector<transport::http_head> requests;
+    int closes = 0; ///< Connections that the other side closed in good order.
+    int resets = 0; ///< Connections that the other side reset.
 
 private:
     struct connection : transport::tcp_stream_sink, transport::http_reader_sink {
@@ -118,7 +120,7 @@
                 bytes.remove_prefix(reader.feed(bytes));
         }
 
-        void on_end(bool /*reset*/) override {}
+        void on_end(bool reset) override { ++(reset ? owner.resets : owner.closes); }
 
         void on_head(transport::http_head head) override { owner.requests.push_back(head); }
 
