The search for the ends of events takes time in proportion to their bytes

Other callers of an instance waited for seconds while servers sent comments without end, 3 bytes each. Cause: for each event all bytes that had come were searched for a blank line with carriage returns, and with each piece of a long event all of it again. Change: one search for both kinds of blank line, which goes on where the last one ended.

--- a/azureyoke/src/coordination/event_relay.cpp
+++ b/azureyoke/src/coordination/event_relay.cpp
@@ -1,5 +1,6 @@
 #include "azureyoke/src/coordination/event_relay.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -30,25 +31,33 @@
     return {};
 }
 
-/// \returns the length of the first event with its blank line; 0 when the event is incomplete.
-std::size_t first_event_length(std::string_view text) {
-    auto lf_end = text.find("\n\n");
-    auto crlf_end = text.find("\r\n\r\n");
-    if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos)
-        return 0;
-    return lf_end < crlf_end ? lf_end + 2 : crlf_end + 4;
+/// \returns the end of the first event that ends after `from`, behind its blank line; 0 if there is
+/// none.
+std::size_t first_event_end(std::string_view text, std::size_t from) {
+    for (auto at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        auto rest = text.substr(at + 1);
+        if (rest.starts_with('\n'))
+            return at + 2;
+        if (rest.starts_with("\r\n") && at > 0 && text[at - 1] == '\r')
+            return at + 3;
+    }
+    return 0;
 }
 
 } // namespace
 } // namespace internal
 
 std::string event_relay::append(std::string_view bytes) {
+    // A blank line may begin up to three bytes before the new ones. Earlier ones were searched.
+    auto from = incomplete_.size() - std::min<std::size_t>(incomplete_.size(), 3);
     incomplete_.append(bytes);
     std::string out;
     std::string_view remaining = incomplete_;
-    while (auto n = internal::first_event_length(remaining)) {
+    while (auto n = internal::first_event_end(remaining, from)) {
         auto event = remaining.substr(0, n);
         remaining.remove_prefix(n);
+        from = 0;
         auto id = internal::id_of(event);
         std::int64_t number = 0;
         bool numbered = std::from_chars(id.data(), id.data() + id.size(), number).ec == std::errc();
--- a/test/event_relay_test.cpp
+++ b/test/event_relay_test.cpp
@@ -1,6 +1,8 @@
 // Guards against incomplete, repeated or lost events when a stream continues at another server.
 #include "azureyoke/src/coordination/event_relay.h"
 
+#include <random>
+
 #include <criterion/criterion.h>
 
 using azureyoke::coordination::event_relay;
@@ -39,3 +41,41 @@
     (void)relay.append("id: 1\ndata: a\n\ntail");
     cr_assert_eq(relay.take_incomplete(), "tail");
 }
+
+Test(event_relay, events_are_the_same_however_their_bytes_are_cut) {
+    const std::string text = "id: 1\ndata: a\n\n:\n\n\n\nid: 2\r\ndata: b\r\n\r\n\r\n\r\nid: "
+                             "3\ndata: c\r\n\nid: 4\n\r\ndata: d\n\nid: 5\r\n\r\nid: 6\ndata";
+    event_relay whole;
+    auto expected = whole.append(text);
+    std::mt19937 random(1);
+    for (int i = 0; i < 2000; ++i) {
+        event_relay relay;
+        std::string out;
+        for (std::size_t at = 0; at < text.size();) {
+            auto n = 1 + random() % 9;
+            out += relay.append(std::string_view(text).substr(at, n));
+            at += n;
+        }
+        cr_assert_eq(out, expected);
+        cr_assert_eq(relay.last_id(), whole.last_id());
+        cr_assert_eq(relay.take_incomplete(), "id: 6\ndata");
+    }
+}
+
+// Guards against a server that occupies an instance with small events: each was searched for in all
+// bytes that had come.
+Test(event_relay, time_for_small_events_is_proportional_to_their_bytes, .timeout = 10) {
+    std::string comments;
+    while (comments.size() < 4 * 1024 * 1024)
+        comments += ":\n\n";
+    event_relay relay;
+    cr_assert_eq(relay.append(comments).size(), comments.size());
+}
+
+Test(event_relay, time_for_a_long_event_is_proportional_to_its_bytes, .timeout = 10) {
+    event_relay relay;
+    (void)relay.append("data: ");
+    for (std::size_t i = 0; i < event_relay::max_event_bytes; ++i)
+        (void)relay.append("x");
+    cr_assert_eq(relay.append("\n\n").size(), event_relay::max_event_bytes + 8);
+}
