Comments of a stream are no events, and have a limit

Servers that sent only comments seemed to be at work: their streams never counted as silent, and they occupied an instance for as long as the route allowed. Cause: a block of comment lines counted as a whole event, which restarted the time until a silent stream is moved, counted as the first part of the answer and was never limited.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -141,13 +141,18 @@
         return;
     }
     run_began_ = true;
+    auto known_events = relay_.events();
     auto events = relay_.append(piece);
     if (relay_.exceeds_limit()) {
-        on_failure({transport::errc::connection_lost, "an event without end", true});
+        on_failure(
+            {transport::errc::connection_lost, "too many bytes without a whole event", true});
         return;
     }
-    if (events.empty())
+    if (relay_.events() == known_events) {
+        if (!events.empty())
+            write_to_caller(events); // comments, which are no progress
         return;
+    }
     record_first_answer();
     report_progress(progress());
     bool first_event = bound_stream_.empty() && !software_unknown_;
--- a/azureyoke/src/coordination/event_relay.cpp
+++ b/azureyoke/src/coordination/event_relay.cpp
@@ -31,6 +31,15 @@
     return {};
 }
 
+/// \returns whether the event has no field, only comments.
+bool is_comment(std::string_view event) {
+    for (std::size_t begin = 0; begin < event.size(); begin = event.find('\n', begin) + 1) {
+        if (event[begin] != ':' && event[begin] != '\r' && event[begin] != '\n')
+            return false;
+    }
+    return true;
+}
+
 /// \returns the end of the first event that ends after `from`, behind its blank line; 0 if there is
 /// none.
 std::size_t first_event_end(std::string_view text, std::size_t from) {
@@ -58,6 +67,12 @@
         auto event = remaining.substr(0, n);
         remaining.remove_prefix(n);
         from = 0;
+        if (internal::is_comment(event)) {
+            comment_bytes_ += event.size();
+            out.append(event);
+            continue;
+        }
+        comment_bytes_ = 0;
         auto id = internal::id_of(event);
         std::int64_t number = 0;
         bool numbered = std::from_chars(id.data(), id.data() + id.size(), number).ec == std::errc();
@@ -68,6 +83,7 @@
             last_id_ = id;
         }
         out.append(event);
+        ++events_;
     }
     incomplete_.erase(0, incomplete_.size() - remaining.size());
     return out;
--- a/azureyoke/src/coordination/event_relay.h
+++ b/azureyoke/src/coordination/event_relay.h
@@ -21,20 +21,31 @@
     /// \brief The stream ended normally. \returns the buffered bytes of an incomplete event.
     std::string take_incomplete();
 
+    /// \returns the number of events that `append` returned, without comments.
+    std::size_t events() const { return events_; }
+
     /// \returns whether bytes of an incomplete event are buffered.
     bool has_incomplete() const { return !incomplete_.empty(); }
 
-    /// \returns whether the incomplete event exceeds `max_event_bytes`.
-    bool exceeds_limit() const { return incomplete_.size() > max_event_bytes; }
+    /// \returns whether the incomplete event, or the comments since the last event, exceed
+    /// `max_event_bytes`.
+    bool exceeds_limit() const {
+        return incomplete_.size() > max_event_bytes || comment_bytes_ > max_event_bytes;
+    }
 
     /// \brief Another server resumes the stream and repeats the incomplete event.
-    void restart() { incomplete_.clear(); }
+    void restart() {
+        incomplete_.clear();
+        comment_bytes_ = 0;
+    }
 
     /// \returns the id of the last forwarded event; empty before the first.
     const std::string& last_id() const { return last_id_; }
 
 private:
     std::string incomplete_;
+    std::size_t events_ = 0;
+    std::size_t comment_bytes_ = 0; ///< Since the last event.
     std::string last_id_;
     std::int64_t last_number_ = -1;
 };
--- a/test/event_relay_test.cpp
+++ b/test/event_relay_test.cpp
@@ -79,3 +79,28 @@
         (void)relay.append("x");
     cr_assert_eq(relay.append("\n\n").size(), event_relay::max_event_bytes + 8);
 }
+
+Test(event_relay, comments_are_forwarded_and_are_no_events) {
+    event_relay relay;
+    cr_assert_eq(relay.append(":\n\n: waits\n:\r\n\r\n\n\n"), ":\n\n: waits\n:\r\n\r\n\n\n");
+    cr_assert_eq(relay.events(), 0U);
+    (void)relay.append(":\nid: 1\ndata: a\n\ndata: b\n\n");
+    cr_assert_eq(relay.events(), 2U);
+}
+
+Test(event_relay, comments_without_end_exceed_the_limit_and_events_without_end_do_not) {
+    event_relay relay;
+    std::string comments;
+    while (comments.size() < event_relay::max_event_bytes / 2)
+        comments += ":\n\n";
+    for (int i = 0; i < 20; ++i) {
+        (void)relay.append(comments);
+        cr_assert_not(relay.exceeds_limit());
+        (void)relay.append("data: a\n\n");
+    }
+    (void)relay.append(comments);
+    (void)relay.append(comments + ":\n\n");
+    cr_assert(relay.exceeds_limit());
+    relay.restart();
+    cr_assert_not(relay.exceeds_limit());
+}
