All requests of an instance hold 16 MB of answers together, at most

An instance ran out of memory when faulty servers sent bytes without end to hundreds of its callers: each request alone kept its limits. Cause: up to 256 KB of an event, 64 KB of an answer that may be repeated and 256 KB for a slow caller, for each request, with no limit on their sum. Change: byte_budget counts what the requests hold. One read takes 16 KB at most.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -143,7 +143,7 @@
     run_began_ = true;
     auto known_events = relay_.events();
     auto events = relay_.append(piece);
-    if (relay_.exceeds_limit()) {
+    if (relay_.exceeds_limit() || !account_bytes()) {
         on_failure(
             {transport::errc::connection_lost, "too many bytes without a whole event", true});
         return;
@@ -167,7 +167,7 @@
 
 void forward_session::buffer_piece(std::string_view piece) {
     buffered_.body.append(piece);
-    if (buffered_.body.size() <= max_buffered_bytes)
+    if (buffered_.body.size() <= max_buffered_bytes && account_bytes())
         return;
     if (is_unconfirmed_refusal()) {
         may_have_run_ = true;
@@ -191,18 +191,30 @@
     return means_not_run(buffered_.status) && route_->rule != state::execution_rule::repeatable;
 }
 
+bool forward_session::account_bytes() {
+    return held_bytes_.set(relay_.incomplete_bytes() + buffered_.body.size() +
+                           exchange_->held_output());
+}
+
 void forward_session::write_to_caller(std::string_view bytes) {
     exchange_->write(bytes);
-    if (exchange_->unwritten() <= max_unwritten_bytes || call_ == nullptr)
+    bool may_hold = account_bytes();
+    if (exchange_->unwritten() == 0 || call_ == nullptr)
         return;
-    call_->pause(true);
+    if (exchange_->unwritten() > max_unwritten_bytes || !may_hold)
+        call_->pause(true);
     exchange_->on_drained([weak = weak_from_this()] {
-        auto self = weak.lock();
-        if (self != nullptr && self->call_ != nullptr)
-            self->call_->pause(false);
+        if (auto self = weak.lock())
+            self->resume_reading();
     });
 }
 
+void forward_session::resume_reading() {
+    (void)account_bytes();
+    if (call_ != nullptr)
+        call_->pause(false);
+}
+
 void forward_session::on_end() {
     if (finished_)
         return;
--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -117,6 +117,7 @@
     answer_timer_.reset();
     call_.reset();
     run_watch_.reset();
+    (void)held_bytes_.set(0);
     auto* limit = workspace_ == nullptr ? nullptr : services_.state.find_limit(workspace_->name);
     if (limit != nullptr && charged_ > 0 && sends_ == 0)
         limit->refund(charged_);
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -12,6 +12,8 @@
 
 /// Number of requests whose traces are kept for `azureyoke explain`.
 constexpr std::size_t max_traces = 2000;
+/// Bytes of answers that all requests hold together. The smallest machines have 88 MB.
+constexpr std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
 constexpr transport::duration housekeeping_period = std::chrono::milliseconds(100);
 /// The policy may be old after neither this instance nor a peer reached the registry for this long.
 constexpr transport::duration stale_policy_timeout = std::chrono::milliseconds(1500);
@@ -55,10 +57,14 @@
       parts_(loop, settings_, peers_, log_, log_limiter_, metrics_),
       streams_(loop, settings_, state_, peers_, dependencies_.records, log_, metrics_),
       runs_(loop, dependencies_.runs, log_, log_limiter_, metrics_),
-      services_{settings_, loop_,    backends_,    dependencies_.dialect,
-                state_,    log_,     log_limiter_, metrics_,
-                history_,  permits_, parts_,       streams_,
-                runs_,     false},
+      answer_bytes_(internal::max_answer_bytes), services_{settings_,    loop_,
+                                                           backends_,    dependencies_.dialect,
+                                                           state_,       log_,
+                                                           log_limiter_, metrics_,
+                                                           history_,     permits_,
+                                                           parts_,       streams_,
+                                                           runs_,        answer_bytes_,
+                                                           false},
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -88,6 +88,7 @@
     part_service parts_;
     stream_service streams_;
     run_watch_service runs_;
+    transport::byte_budget answer_bytes_;
     forward_services services_;
     weights_service weights_;
     transport::front_server callers_;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -11,7 +11,7 @@
 
 forward_session::forward_session(forward_services& services,
                                  std::shared_ptr<transport::front_exchange> exchange)
-    : services_(services), exchange_(std::move(exchange)) {}
+    : services_(services), exchange_(std::move(exchange)), held_bytes_(services.answer_bytes) {}
 
 double forward_session::remaining_ms() const {
     return coordination::to_seconds(deadline_ - services_.loop.now()) * 1000;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -100,6 +100,9 @@
     bool is_unconfirmed_refusal() const;
     /// Switches from buffering to passing through, because the answer exceeds the buffer.
     void stop_buffering();
+    /// Records the bytes that this session holds. \returns whether it may hold them.
+    bool account_bytes();
+    void resume_reading();
     bool ended_within_event() const;
     void reply_buffered();
     void on_not_run();
@@ -152,6 +155,7 @@
     answer_mode answer_mode_ = answer_mode::pass_through;
     transport::http_response buffered_;
     coordination::event_relay relay_;
+    transport::byte_account held_bytes_;
     std::string last_server_;
     std::string last_address_;               ///< Of `last_server_` when the request was sent.
     std::vector<std::string> tried_servers_; ///< To which this request was sent.
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -22,6 +22,7 @@
 #include "azureyoke/src/coordination/server_limits.h"
 #include "azureyoke/src/coordination/service_retry_budget.h"
 #include "azureyoke/src/transport/backend_pool.h"
+#include "azureyoke/src/transport/byte_budget.h"
 
 namespace azureyoke::app {
 
@@ -80,7 +81,8 @@
     part_guard& parts;
     stream_registry& streams;
     run_watcher& runs;
-    bool refuse_all = false; ///< The instance is about to exit.
+    transport::byte_budget& answer_bytes; ///< Held by all sessions.
+    bool refuse_all = false;              ///< The instance is about to exit.
 };
 
 } // namespace azureyoke::app
--- a/azureyoke/src/coordination/event_relay.h
+++ b/azureyoke/src/coordination/event_relay.h
@@ -27,6 +27,9 @@
     /// \returns whether bytes of an incomplete event are buffered.
     bool has_incomplete() const { return !incomplete_.empty(); }
 
+    /// \returns the buffered bytes of an incomplete event.
+    std::size_t incomplete_bytes() const { return incomplete_.size(); }
+
     /// \returns whether the incomplete event, or the comments since the last event, exceed
     /// `max_event_bytes`.
     bool exceeds_limit() const {
--- a/azureyoke/src/transport/backend_fetch.cpp
+++ b/azureyoke/src/transport/backend_fetch.cpp
@@ -11,9 +11,10 @@
                    public std::enable_shared_from_this<fetch_sink> {
 public:
     fetch_sink(event_loop& loop, duration head, std::optional<fetch_limits> progress,
-               std::function<void()> on_head, std::function<void(result<http_response>)> done)
-        : loop_(loop), head_timeout_(head), progress_(progress), on_head_(std::move(on_head)),
-          done_(std::move(done)) {}
+               std::size_t max_bytes, std::function<void()> on_head,
+               std::function<void(result<http_response>)> done)
+        : loop_(loop), head_timeout_(head), progress_(progress), max_bytes_(max_bytes),
+          on_head_(std::move(on_head)), done_(std::move(done)) {}
 
     void start(backend_pool& pool, const address& to, const http_request& request) {
         timer_ = loop_.after(head_timeout_, [this] { fail_in_time("no complete answer in time"); });
@@ -34,9 +35,9 @@
 
     void on_piece(std::string_view piece) override {
         answer_.body.append(piece);
-        if (answer_.body.size() > max_fetched_bytes)
-            finish(tl::unexpected(
-                error{errc::connection_lost, "the answer is larger than the limit", true}));
+        if (answer_.body.size() > max_bytes_)
+            finish(
+                tl::unexpected(error{errc::oversize, "the answer is larger than the limit", true}));
     }
 
     void on_end() override {
@@ -80,6 +81,7 @@
     event_loop& loop_;
     duration head_timeout_;
     std::optional<fetch_limits> progress_; ///< Absent: the timeout bounds the complete answer.
+    std::size_t max_bytes_;
     std::function<void()> on_head_;
     std::function<void(result<http_response>)> done_;
     instant body_began_;
@@ -93,9 +95,10 @@
 } // namespace internal
 
 void fetch(event_loop& loop, backend_pool& pool, const address& to, const http_request& request,
-           duration timeout, std::function<void(result<http_response>)> done) {
-    auto sink = std::make_shared<internal::fetch_sink>(loop, timeout, std::nullopt, nullptr,
-                                                       std::move(done));
+           duration timeout, std::function<void(result<http_response>)> done,
+           std::size_t max_bytes) {
+    auto sink = std::make_shared<internal::fetch_sink>(loop, timeout, std::nullopt, max_bytes,
+                                                       nullptr, std::move(done));
     sink->start(pool, to, request);
 }
 
@@ -103,7 +106,7 @@
                                   const http_request& request, const fetch_limits& limits,
                                   std::function<void()> on_head,
                                   std::function<void(result<http_response>)> done) {
-    auto sink = std::make_shared<internal::fetch_sink>(loop, limits.head, limits,
+    auto sink = std::make_shared<internal::fetch_sink>(loop, limits.head, limits, max_fetched_bytes,
                                                        std::move(on_head), std::move(done));
     sink->start(pool, to, request);
     return sink;
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -23,6 +23,8 @@
 
     std::size_t unwritten() const { return stream_.unwritten(); }
 
+    std::size_t held_output() const { return stream_.held_output(); }
+
     bool closes_after_answer() const;
 
     void reset_on_close() const { stream_.reset_on_close(); }
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -142,6 +142,10 @@
     return finished() ? 0 : connection_->unwritten();
 }
 
+std::size_t front_exchange::held_output() const {
+    return finished() ? 0 : connection_->held_output();
+}
+
 int refusal_status(front_refusal reason) {
     switch (reason) {
     case front_refusal::head_too_large:
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -76,6 +76,9 @@
     /// \returns the bytes still buffered, not yet accepted by the socket.
     std::size_t unwritten() const;
 
+    /// \returns the memory that the unsent answer takes, in bytes.
+    std::size_t held_output() const;
+
     /// \brief Sets the callback for a caller that disconnects before the answer has ended.
     void on_closed(std::function<void()> callback) { on_closed_ = std::move(callback); }
 
--- a/azureyoke/src/transport/tcp_stream.cpp
+++ b/azureyoke/src/transport/tcp_stream.cpp
@@ -14,7 +14,8 @@
 namespace internal {
 namespace {
 
-constexpr std::size_t read_buffer_bytes = 64 * 1024;
+/// Bytes that one read may add to what a paused or limited stream holds.
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
 constexpr int accept_backlog = 512;
 /// A connection fails when sent bytes or keep-alive probes stay unacknowledged for this time,
 /// since a peer that has lost power or is behind a network partition never answers.
--- a/azureyoke/src/transport/tcp_stream.h
+++ b/azureyoke/src/transport/tcp_stream.h
@@ -57,6 +57,9 @@
     /// \returns the number of buffered bytes not yet accepted by the socket.
     std::size_t unwritten() const { return output_.size() - output_offset_; }
 
+    /// \returns the memory that the output takes, in bytes.
+    std::size_t held_output() const { return output_.capacity(); }
+
     bool connected() const { return connected_; }
 
     /// \returns true once a byte may have reached the peer.
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -180,18 +180,21 @@
     scripted_guard guard;
     scripted_streams streams;
     scripted_runs run_ends{loop};
+    transport::byte_budget answer_bytes;
     std::unique_ptr<app::forward_state> state;
     std::unique_ptr<app::forward_services> services;
     std::unique_ptr<transport::front_server> front;
     transport::address at;
 
-    explicit forward_fixture(const state::forward_route& route) {
+    explicit forward_fixture(const state::forward_route& route,
+                             std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024)
+        : answer_bytes(max_answer_bytes) {
         settings.instance = "test";
         settings.data_centre = "dc";
         state = std::make_unique<app::forward_state>(settings);
-        services = std::make_unique<app::forward_services>(
-            app::forward_services{settings, loop, backends, dialect, *state, log, log_limiter,
-                                  measures, history, permits, guard, streams, run_ends, false});
+        services = std::make_unique<app::forward_services>(app::forward_services{
+            settings, loop, backends, dialect, *state, log, log_limiter, measures, history, permits,
+            guard, streams, run_ends, answer_bytes, false});
         permits.router = &state->router;
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
