Sent bytes of a connection's output are dropped before it is empty

A connection to a peer that read as fast as it was written to, but never everything, kept all bytes that had ever been written to it. Cause: sent bytes were dropped only when all output had been sent. Change: they are dropped when they are at least half of the output.

--- a/azureyoke/src/transport/tcp_stream.cpp
+++ b/azureyoke/src/transport/tcp_stream.cpp
@@ -124,11 +124,21 @@
         if (bytes.empty())
             return;
     }
+    drop_sent_output();
     output_.append(bytes);
     if (connected_)
         watch_writable(true);
 }
 
+// Output to a slow peer may never be sent completely. Bytes are moved only when at least as many
+// are dropped.
+void tcp_stream::drop_sent_output() {
+    if (output_offset_ < unwritten())
+        return;
+    output_.erase(0, output_offset_);
+    output_offset_ = 0;
+}
+
 void tcp_stream::shutdown_output() {
     shutdown_pending_ = true;
     if (connected_ && unwritten() == 0)
--- a/azureyoke/src/transport/tcp_stream.h
+++ b/azureyoke/src/transport/tcp_stream.h
@@ -72,6 +72,7 @@
     void create_read_event();
     void watch_writable(bool wanted);
     void flush();
+    void drop_sent_output();
     void finish(bool reset);
     static void on_readable(int fd, short events, void* self);
     static void on_writable(int fd, short events, void* self);
