--- a/test/scripted_runs.h
+++ b/test/scripted_runs.h
@@ -24,7 +24,7 @@
                 done();
         };
         if (holds_runs)
-            held.push_back(handler);
+            held.emplace_back(handler);
         else
             loop_.defer(handler);
         return result;
