A watch of a run that a handler drops calls nobody

Found on reading the change again: two runs that one report shows as ended were told one after the other, also when the first handler had dropped the second watch. run_watch_service/watch_that_is_dropped_by_a_handler... failed before.

--- a/azureyoke/src/app/run_watch_service.cpp
+++ b/azureyoke/src/app/run_watch_service.cpp
@@ -80,8 +80,11 @@
 }
 
 void run_watch_service::remove(const std::string& id, const std::shared_ptr<watched_run>& run) {
+    if (run == nullptr)
+        return;
+    run->done = nullptr;
     auto found = servers_.find(id);
-    if (found == servers_.end() || run == nullptr)
+    if (found == servers_.end())
         return;
     std::erase(found->second.runs, run);
     if (found->second.runs.empty())
@@ -123,8 +126,10 @@
         ask_after(id, interval);
         interval = std::min(2 * interval, run_end_check::max_interval);
     }
-    for (const auto& it : ended)
-        it->done();
+    for (const auto& it : ended) {
+        if (auto done = std::exchange(it->done, nullptr)) // a handler before may have dropped it
+            done();
+    }
 }
 
 void run_watch_service::log_end(const watched_run& ended, run_report report) {
--- a/test/run_watch_service_test.cpp
+++ b/test/run_watch_service_test.cpp
@@ -48,8 +48,8 @@
 
     std::unique_ptr<app::run_watcher::watch> await_end(const std::string& server,
                                                        const std::string& request) {
-        auto sent = loop.now() - std::chrono::seconds(3);
-        return service.await_end({server, "10.0.0.1:80", request, sent},
+        auto began = loop.now() - std::chrono::seconds(3);
+        return service.await_end({server, "10.0.0.1:80", request, began},
                                  [this, request] { ended.insert(request); });
     }
 
@@ -132,11 +132,23 @@
     it.set_runs("a", {});
     std::unique_ptr<app::run_watcher::watch> first;
     std::unique_ptr<app::run_watcher::watch> second;
-    auto sent = it.loop.now() - std::chrono::seconds(3);
-    first = it.service.await_end({"a", "10.0.0.1:80", "q1", sent}, [&] {
+    auto began = it.loop.now() - std::chrono::seconds(3);
+    first = it.service.await_end({"a", "10.0.0.1:80", "q1", began}, [&] {
         first.reset();
         second = it.await_end("a", "q2");
     });
     it.wait(milliseconds(500));
     cr_assert(it.ended == std::set<std::string>{"q2"});
 }
+
+Test(run_watch_service, watch_that_is_dropped_by_a_handler_of_the_same_report_calls_nobody) {
+    watch_fixture it;
+    it.set_runs("a", {});
+    std::unique_ptr<app::run_watcher::watch> first;
+    std::unique_ptr<app::run_watcher::watch> second;
+    auto began = it.loop.now() - std::chrono::seconds(3);
+    first = it.service.await_end({"a", "10.0.0.1:80", "q1", began}, [&] { second.reset(); });
+    second = it.await_end("a", "q2");
+    it.wait(milliseconds(500));
+    cr_assert(it.ended.empty());
+}
