A slow caller's stream waits, and is not cut, while others use up the budget

Cause: the check for an event without end looked at all that the request held, of which the caller's part is no fault of the server. Change: only the bytes of an incomplete event fail the attempt; for the caller's part reading is paused, as before.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -143,7 +143,10 @@
     run_began_ = true;
     auto known_events = relay_.events();
     auto events = relay_.append(piece);
-    if (relay_.exceeds_limit() || !account_bytes()) {
+    // What the caller has not taken yet is no reason to fail the attempt: reading is paused then.
+    bool may_hold =
+        account_bytes() || relay_.incomplete_bytes() <= transport::byte_account::guaranteed_bytes;
+    if (relay_.exceeds_limit() || !may_hold) {
         on_failure(
             {transport::errc::connection_lost, "too many bytes without a whole event", true});
         return;
--- a/test/byte_budget_test.cpp
+++ b/test/byte_budget_test.cpp
@@ -115,3 +115,48 @@
     cr_assert_leq(it.answer_bytes.used(),
                   2 * limit + 2 * one_read + byte_account::guaranteed_bytes);
 }
+
+// Guards against sound streams that are cut because their caller is slow while others hold much.
+Test(byte_budget, stream_of_a_slow_caller_waits_when_the_budget_is_used_up, .timeout = 30) {
+    auto route = forward_fixture::route(execution_rule::stream, 1);
+    route.timeout_ms = 20'000;
+    forward_fixture it(route, limit);
+    std::shared_ptr<transport::front_exchange> answer;
+    transport::front_server server(it.loop, {}, [&](const auto& exchange) {
+        auto id = transport::find_field(exchange->request().fields, "id").value_or("");
+        exchange->start(200, {{"id", id}, {"stamp", "s"}});
+        answer = exchange;
+    });
+    auto at = *server.listen({"127.0.0.1", 0});
+    it.state->directory.replace_all({}, it.loop.now());
+    it.add("only", at);
+
+    struct slow_caller : transport::tcp_stream_sink {
+        void on_bytes(std::string_view bytes) override { body += bytes; }
+
+        void on_end(bool /*reset*/) override { ended = true; }
+
+        std::string body;
+        bool ended = false;
+    } sink;
+
+    transport::tcp_stream caller(it.loop, it.at, sink);
+    caller.write("POST /r/x HTTP/1.1\r\nid: q1\r\nContent-Length: 0\r\n\r\n");
+    caller.pause(true);
+    while (answer == nullptr)
+        it.loop.run_once(true);
+    const std::string event = "data: " + std::string(4000, 'x') + "\n\n";
+    while (it.answer_bytes.used() < 2 * byte_account::guaranteed_bytes) {
+        answer->write(event);
+        it.loop.run_once(true);
+    }
+    byte_account other(it.answer_bytes);
+    cr_assert_not(other.set(2 * limit));
+    answer->write(event + "data: last\n\n");
+    answer->end();
+    it.wait(std::chrono::milliseconds(50));
+    caller.pause(false);
+    while (!sink.ended && sink.body.find("0\r\n\r\n") == std::string::npos)
+        it.loop.run_once(true);
+    cr_assert_neq(sink.body.find("data: last"), std::string::npos);
+}
