--- a/standin/process.cpp
+++ b/standin/process.cpp
@@ -8,6 +8,7 @@
 #include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -27,7 +28,7 @@
 } // namespace
 } // namespace internal
 
-process::process(const std::vector<std::string>& command, std::string output)
+process::process(const std::vector<std::string>& command, std::string output, int max_descriptors)
     : output_path_(std::move(output)) {
     std::vector<char*> argv;
     argv.reserve(command.size() + 1);
@@ -40,6 +41,11 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL); // no child process outlives its parent
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
+        if (max_descriptors > 0) {
+            rlimit limit{static_cast<rlim_t>(max_descriptors),
+                         static_cast<rlim_t>(max_descriptors)};
+            setrlimit(RLIMIT_NOFILE, &limit);
+        }
         execv(argv[0], argv.data());
         _exit(127);
     }
--- a/standin/process.h
+++ b/standin/process.h
@@ -12,8 +12,9 @@
 class process {
 public:
     /// \brief Starts `command` (program and arguments) with standard output and standard error
-    /// redirected to the file `output`.
-    process(const std::vector<std::string>& command, std::string output);
+    /// redirected to the file `output`. It may open `max_descriptors` files and sockets, or as many
+    /// as this process if that is 0.
+    process(const std::vector<std::string>& command, std::string output, int max_descriptors = 0);
     ~process();
     process(const process&) = delete;
     process& operator=(const process&) = delete;
