Callers who keep their connections leave descriptors for new callers

Callers saw: an instance whose kept connections hold all descriptors takes no new connection for as long as these stay idle (60 s), answers nobody else, reaches no backend server, uses a whole core and logs nothing. When callers return at once to the instances that are back, this takes service away for each kind of request.

Cause: the number of connections had no bound, accept4's EMFILE was ignored while the listener stayed readable, and nothing was kept for connections to backend servers. Class: a limit of the process that nobody counts is used up by one part and missing to all others.

A front_server at its share closes the connection that is idle for longest; connections idle for under 100 ms may carry a request and stay. Without one, new callers wait in the queue, and after half a second they are closed unread, so that they can go elsewhere. A listener that can't accept rests for 20 ms.

--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -25,8 +25,14 @@
     return static_cast<std::uint64_t>(wall_clock_ms());
 }
 
-transport::front_limits limits_of(const state::caller_bounds& bounds) {
+transport::front_limits limits_of(std::size_t max_connections) {
     transport::front_limits result;
+    result.max_connections = max_connections;
+    return result;
+}
+
+transport::front_limits limits_of(const state::caller_bounds& bounds, std::size_t max_connections) {
+    auto result = limits_of(max_connections);
     result.max_head_bytes = static_cast<std::size_t>(bounds.max_head_bytes);
     result.max_body_bytes = static_cast<std::size_t>(bounds.max_body_bytes);
     result.head_timeout = std::chrono::milliseconds(bounds.head_timeout_ms);
@@ -34,15 +40,37 @@
     return result;
 }
 
+transport::backend_pool_limits backend_limits(std::size_t max_connections) {
+    transport::backend_pool_limits result;
+    result.max_kept_connections = max_connections;
+    return result;
+}
+
+const char* name_of(transport::connection_shortage what) {
+    switch (what) {
+    case transport::connection_shortage::idle_closed:
+        return "idle_closed";
+    case transport::connection_shortage::left_waiting:
+        return "left_waiting";
+    case transport::connection_shortage::new_closed:
+        return "new_closed";
+    case transport::connection_shortage::no_descriptor:
+        return "no_descriptor";
+    }
+    return "unnamed";
+}
+
 } // namespace
 } // namespace internal
 
 forward_instance::forward_instance(transport::event_loop& loop, forward_settings settings,
                                    forward_dependencies dependencies)
     : loop_(loop), settings_(std::move(settings)), dependencies_(dependencies),
+      descriptors_(divide_descriptors(dependencies_.max_descriptors)),
       incarnation_(internal::new_incarnation()), log_(settings_.instance),
       log_limiter_(static_cast<int>(settings_.log_lines_per_second)),
-      history_(internal::max_traces), backends_(loop, {}), state_(settings_),
+      history_(internal::max_traces),
+      backends_(loop, internal::backend_limits(descriptors_.backends)), state_(settings_),
       peers_(
           loop, settings_, dependencies_.records, log_,
           [this](auto scope) { return report(scope); },
@@ -68,13 +96,14 @@
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
-          loop, {},
+          loop, internal::limits_of(descriptors_.callers),
           [this](const auto& exchange) {
               std::make_shared<forward_session>(services_, exchange)->start();
           },
-          [this](transport::front_refusal why) { return refuse_unparsed(why); }),
+          [this](transport::front_refusal why) { return refuse_unparsed(why); },
+          [this](auto what) { on_connection_shortage(what); }),
       readiness_(
-          loop, {},
+          loop, internal::limits_of(descriptors_.other_servers),
           [this](const auto& exchange) {
               exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
           }),
@@ -82,7 +111,7 @@
               weights_, [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }, [this] { return registry_era_; },
               [this] { return operators_.busy_connections(); }}),
-      operators_(loop, {},
+      operators_(loop, internal::limits_of(descriptors_.other_servers),
                  [this](const auto& exchange) {
                      exchange->reply(pages_.page(transport::path_of(exchange->request().target)));
                  }),
@@ -101,6 +130,16 @@
     return {status, {}, reason + "\n"};
 }
 
+void forward_instance::on_connection_shortage(transport::connection_shortage what) {
+    const char* name = internal::name_of(what);
+    metrics_.count("azureyoke_connection_shortages_total", "what", name);
+    std::int64_t left_out = 0;
+    if (log_limiter_.try_acquire(event_id::connections_short, loop_.now(), left_out))
+        log_.warn(event_id::connections_short, {{"what", name},
+                                                {"limit", std::to_string(descriptors_.callers)},
+                                                {"left_out", std::to_string(left_out)}});
+}
+
 void forward_instance::start() {
     auto listen = [](transport::front_server& server, const transport::address& at) {
         return [&server, at] { return server.listen(at).map([](const auto& /*bound*/) {}); };
@@ -130,7 +169,7 @@
 }
 
 void forward_instance::on_new_policy(const policy_copy& copy) {
-    callers_.set_limits(internal::limits_of(copy.policy->bounds()));
+    callers_.set_limits(internal::limits_of(copy.policy->bounds(), descriptors_.callers));
     streams_.on_fleet_changed();
     peers_.send_now();
 }
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "azureyoke/src/app/address_binder.h"
+#include "azureyoke/src/app/descriptor_shares.h"
 #include "azureyoke/src/app/forward_pages.h"
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/app/part_service.h"
@@ -23,6 +24,7 @@
     server_order_client& orders;
     run_list_client& runs;
     const forward_dialect& dialect;
+    std::size_t max_descriptors = 1024; ///< Of this process.
 };
 
 /// \brief One running instance that forwards for a registered fleet.
@@ -69,12 +71,14 @@
     void housekeeping();
     /// Creates the answer to a request that could not be parsed.
     transport::http_response refuse_unparsed(transport::front_refusal why);
+    void on_connection_shortage(transport::connection_shortage what);
     bool ready() const;
     void check_drained();
 
     transport::event_loop& loop_;
     forward_settings settings_;
     forward_dependencies dependencies_;
+    descriptor_shares descriptors_;
     std::uint64_t incarnation_;
     event_log log_;
     log_rate_limiter log_limiter_;
--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -292,6 +292,7 @@
             continue;
         }
         found->second.pop_back();
+        --idle_connections_;
         if (found->second.empty())
             idle_.erase(found);
         return it;
@@ -311,10 +312,14 @@
 void backend_pool::add_idle(const std::shared_ptr<backend_connection>& connection) {
     busy_.erase(connection.get());
     auto& list = idle_[connection->to()];
-    if (list.size() < limits_.max_idle_connections)
-        list.push_back(connection);
-    else
+    bool has_room = list.size() < limits_.max_idle_connections &&
+                    busy_.size() + idle_connections_ < limits_.max_kept_connections;
+    if (!has_room) {
         connection->close();
+        return;
+    }
+    list.push_back(connection);
+    ++idle_connections_;
 }
 
 void backend_pool::remove(backend_connection& connection) {
@@ -322,7 +327,8 @@
     auto found = idle_.find(connection.to());
     if (found == idle_.end())
         return;
-    std::erase_if(found->second, [&](const auto& it) { return it.get() == &connection; });
+    idle_connections_ -=
+        std::erase_if(found->second, [&](const auto& it) { return it.get() == &connection; });
     if (found->second.empty())
         idle_.erase(found);
 }
--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -33,6 +33,8 @@
     duration connect_timeout = std::chrono::milliseconds(300);
     std::size_t max_head_bytes = 64 * 1024;
     std::size_t max_idle_connections = 16; ///< Per backend server address.
+    /// Connections beyond this number, to all addresses together, are not kept when idle.
+    std::size_t max_kept_connections = 4096;
     /// Idle connections are not reused after this time: the backend server may be closing them.
     duration max_idle_time = std::chrono::seconds(4);
 
@@ -83,6 +85,8 @@
     std::unique_ptr<backend_call> send(const address& to, const http_request& request, bool reuse,
                                        std::shared_ptr<backend_answer_sink> sink);
 
+    std::size_t idle_connections() const { return idle_connections_; }
+
 private:
     friend class backend_connection;
     std::shared_ptr<backend_connection> acquire(const address& to, bool reuse);
@@ -96,6 +100,7 @@
     /// Connections that carry a call. A connection owns its sink, and the sink may own the call;
     /// the pool's destructor breaks this cycle.
     std::set<backend_connection*> busy_;
+    std::size_t idle_connections_ = 0; ///< In `idle_`.
     std::unique_ptr<timer> sweep_timer_;
     std::shared_ptr<backend_pool*> self_; ///< Set to null when the pool is destroyed.
 };
--- a/azureyoke/src/transport/front_connection.h
+++ b/azureyoke/src/transport/front_connection.h
@@ -40,6 +40,9 @@
     /// \brief Closes the connection, or answers 408, when a timeout has expired.
     void enforce_timeouts(instant now);
 
+    /// \returns the start of the current wait for a request or a part of it.
+    instant wait_started() const { return wait_started_; }
+
     bool busy() const {
         return exchange_ != nullptr || !reader_.at_boundary() || !pending_input_.empty() ||
                stream_.unwritten() > 0;
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <charconv>
 
+#include <unistd.h>
+
 #include "azureyoke/src/transport/front_connection.h"
 
 namespace azureyoke::transport {
@@ -12,6 +14,11 @@
 
 /// Interval at which the connections' timeouts are checked.
 constexpr duration sweep_period = std::chrono::milliseconds(500);
+/// A connection that is idle for less than this may carry a request that was not read yet.
+constexpr duration min_idle_time = std::chrono::milliseconds(100);
+/// New connections wait this long for a place. After that they are closed, so that their callers
+/// can go elsewhere.
+constexpr duration max_accept_wait = std::chrono::milliseconds(500);
 
 const char* reason_phrase(int status) {
     switch (status) {
@@ -178,9 +185,10 @@
 }
 
 front_server::front_server(event_loop& loop, const front_limits& limits, handler on_request,
-                           refusal_renderer render)
+                           refusal_renderer render, shortage_handler on_shortage)
     : loop_(loop), limits_(limits), on_request_(std::move(on_request)), render_(std::move(render)),
-      listener_(loop, [this](int fd) { accept(fd); }) {}
+      on_shortage_(std::move(on_shortage)), listener_(
+                                                loop, [this](int fd) { accept(fd); }, this) {}
 
 front_server::~front_server() {
     auto connections = std::exchange(connections_, {});
@@ -193,7 +201,51 @@
     return listener_.listen(at);
 }
 
+void front_server::report(connection_shortage what) const {
+    if (on_shortage_)
+        on_shortage_(what);
+}
+
+bool front_server::close_longest_idle() {
+    front_connection* longest = nullptr;
+    for (const auto& [raw, it] : connections_) {
+        if (!it->busy() && (longest == nullptr || it->wait_started() < longest->wait_started()))
+            longest = raw;
+    }
+    if (longest == nullptr || loop_.now() - longest->wait_started() < internal::min_idle_time)
+        return false;
+    longest->close();
+    return true;
+}
+
+bool front_server::may_accept() {
+    bool may = has_room();
+    if (!may && close_longest_idle()) {
+        report(connection_shortage::idle_closed);
+        may = true;
+    }
+    if (may) {
+        crowded_since_.reset();
+        return true;
+    }
+    if (!crowded_since_) {
+        crowded_since_ = loop_.now();
+        report(connection_shortage::left_waiting);
+    }
+    return loop_.now() - *crowded_since_ >= internal::max_accept_wait;
+}
+
+void front_server::on_shortage() {
+    (void)close_longest_idle();
+    report(connection_shortage::no_descriptor);
+}
+
 void front_server::accept(int fd) {
+    if (!has_room()) {
+        ::close(fd); // unread: the caller knows that its request did not run
+        report(connection_shortage::new_closed);
+        return;
+    }
     auto accepted = std::make_shared<front_connection>(*this, fd);
     connections_.emplace(accepted.get(), accepted);
 }
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -18,6 +18,7 @@
     duration head_timeout = std::chrono::seconds(10);
     duration body_timeout = std::chrono::seconds(30);
     duration idle_timeout = std::chrono::seconds(60);
+    std::size_t max_connections = 0; ///< 0: no limit.
 
     friend bool operator==(const front_limits&, const front_limits&) = default;
 };
@@ -25,6 +26,14 @@
 /// \brief Reason why the server refused a request before passing it to the handler.
 enum class front_refusal { malformed, ambiguous_length, head_too_large, body_too_large, too_slow };
 
+/// \brief What a server did when it had more connections than it may have or than it can accept.
+enum class connection_shortage {
+    idle_closed,  ///< Closed the connection that was idle for longest, in favour of a new one.
+    left_waiting, ///< Left new connections in the queue: none was idle for long enough.
+    new_closed,   ///< Closed a new connection unread, after others had waited for too long.
+    no_descriptor ///< Could not accept a new connection: the process is out of descriptors.
+};
+
 /// \returns the HTTP status for a refusal.
 int refusal_status(front_refusal reason);
 /// \returns a description of the violated rule.
@@ -109,17 +118,19 @@
 ///
 /// A connection handles one request at a time; pipelined requests wait until the current answer
 /// has ended. Not thread safe.
-class front_server {
+class front_server : private accept_control {
 public:
     using handler = std::function<void(std::shared_ptr<front_exchange>)>;
     /// \brief Builds the answer to a request that the server refuses. The connection is closed
     /// afterwards.
     using refusal_renderer = std::function<http_response(front_refusal)>;
+    using shortage_handler = std::function<void(connection_shortage)>;
 
-    /// \brief Without `render`, refusals consist of a status and an empty body.
+    /// \brief Without `render`, refusals consist of a status and an empty body. `on_shortage` may
+    /// be null.
     front_server(event_loop& loop, const front_limits& limits, handler on_request,
-                 refusal_renderer render = nullptr);
-    ~front_server();
+                 refusal_renderer render = nullptr, shortage_handler on_shortage = nullptr);
+    ~front_server() override;
     front_server(const front_server&) = delete;
     front_server& operator=(const front_server&) = delete;
     front_server(front_server&&) = delete;
@@ -148,6 +159,16 @@
 private:
     friend class front_connection;
     void accept(int fd);
+    bool may_accept() override;
+    void on_shortage() override;
+
+    bool has_room() const {
+        return limits_.max_connections == 0 || connections_.size() < limits_.max_connections;
+    }
+
+    /// \returns whether there was one.
+    bool close_longest_idle();
+    void report(connection_shortage what) const;
     void check_connections();
     void remove(front_connection* connection);
 
@@ -155,9 +176,11 @@
     front_limits limits_;
     handler on_request_;
     refusal_renderer render_;
+    shortage_handler on_shortage_;
     tcp_listener listener_;
     std::map<front_connection*, std::shared_ptr<front_connection>> connections_;
     std::unique_ptr<timer> sweep_timer_;
+    std::optional<instant> crowded_since_; ///< New connections wait since then.
     bool closing_ = false;
 };
 
--- a/azureyoke/src/transport/tcp_stream.cpp
+++ b/azureyoke/src/transport/tcp_stream.cpp
@@ -17,6 +17,7 @@
 /// Bytes that one read may add to what a paused or limited stream holds.
 constexpr std::size_t read_buffer_bytes = 16 * 1024;
 constexpr int accept_backlog = 512;
+constexpr duration accept_pause = std::chrono::milliseconds(20);
 /// A connection fails when sent bytes or keep-alive probes stay unacknowledged for this time,
 /// since a peer that has lost power or is behind a network partition never answers.
 constexpr int unresponsive_peer_timeout_ms = 2500;
@@ -218,8 +219,8 @@
         it->flush();
 }
 
-tcp_listener::tcp_listener(event_loop& loop, handler on_accept)
-    : loop_(loop), on_accept_(std::move(on_accept)) {}
+tcp_listener::tcp_listener(event_loop& loop, handler on_accept, accept_control* control)
+    : loop_(loop), on_accept_(std::move(on_accept)), control_(control) {}
 
 tcp_listener::~tcp_listener() {
     if (event_ != nullptr)
@@ -232,6 +233,7 @@
     if (event_ == nullptr)
         return;
     on_acceptable(fd_, 0, this);
+    resume_timer_.reset();
     event_free(std::exchange(event_, nullptr));
     close(std::exchange(fd_, -1));
 }
@@ -254,12 +256,29 @@
 }
 
 void tcp_listener::on_acceptable(int fd, short /*events*/, void* self) {
+    auto* it = static_cast<tcp_listener*>(self);
     for (;;) {
+        if (it->control_ != nullptr && !it->control_->may_accept()) {
+            it->pause();
+            return;
+        }
         int accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted < 0)
+        if (accepted >= 0) {
+            it->on_accept_(accepted);
+            continue;
+        }
+        if (errno != EMFILE && errno != ENFILE && errno != ENOBUFS && errno != ENOMEM)
             return;
-        static_cast<tcp_listener*>(self)->on_accept_(accepted);
+        it->pause();
+        if (it->control_ != nullptr)
+            it->control_->on_shortage();
+        return;
     }
 }
 
+void tcp_listener::pause() {
+    event_del(event_);
+    resume_timer_ = loop_.after(internal::accept_pause, [this] { event_add(event_, nullptr); });
+}
+
 } // namespace azureyoke::transport
--- a/azureyoke/src/transport/tcp_stream.h
+++ b/azureyoke/src/transport/tcp_stream.h
@@ -93,12 +93,23 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+/// \brief Decides whether a `tcp_listener` accepts connections. Not thread safe.
+class accept_control {
+public:
+    virtual ~accept_control() = default;
+    /// \returns whether the next connection may be accepted; otherwise it waits for a moment.
+    virtual bool may_accept() = 0;
+    /// \brief A connection could not be accepted for want of descriptors or memory, and waits.
+    virtual void on_shortage() = 0;
+};
+
 /// \brief Accepts TCP connections.
 class tcp_listener {
 public:
     using handler = std::function<void(int fd)>;
 
-    tcp_listener(event_loop& loop, handler on_accept);
+    /// \brief `control` may be null; else it outlives the listener.
+    tcp_listener(event_loop& loop, handler on_accept, accept_control* control = nullptr);
     ~tcp_listener();
     tcp_listener(const tcp_listener&) = delete;
     tcp_listener& operator=(const tcp_listener&) = delete;
@@ -113,9 +124,13 @@
 
 private:
     static void on_acceptable(int fd, short events, void* self);
+    /// Leaves waiting connections alone for a moment. They would wake the loop without end.
+    void pause();
 
     event_loop& loop_;
     handler on_accept_;
+    accept_control* control_;
+    std::unique_ptr<timer> resume_timer_;
     int fd_ = -1;
     event* event_ = nullptr;
 };
