A reader of serve's log that stalls blocks no caller

Callers would see: an instance of serve that stands still for as long as nobody reads its standard error and the pipe is full, for each kind of request.

Cause: only standard output was made non-blocking; serve logs to standard error.

event_log/stalled_reader_of_errors_...: timed out after 60 s before, passes now.

--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -120,8 +120,8 @@
 
 void start_logging(log_stream target) {
     // With a non-blocking output, a stalled reader loses log lines but never blocks requests.
-    if (target == log_stream::output)
-        (void)fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    int fd = target == log_stream::output ? STDOUT_FILENO : STDERR_FILENO;
+    (void)fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
     auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, target == log_stream::output ? log4cxx::ConsoleAppender::getSystemOut()
--- a/test/event_log_test.cpp
+++ b/test/event_log_test.cpp
@@ -35,13 +35,13 @@
 
 namespace {
 
-/// Redirects standard output to a pipe that is read only by `read_all`.
+/// Redirects an output of the process to a pipe that is read only by `read_all`.
 class stalled_output {
 public:
-    stalled_output() {
+    explicit stalled_output(int fd) {
         std::array<int, 2> ends{};
         cr_assert_eq(pipe(ends.data()), 0);
-        cr_assert_geq(dup2(ends[1], STDOUT_FILENO), 0);
+        cr_assert_geq(dup2(ends[1], fd), 0);
         close(ends[1]);
         read_end_ = ends[0];
         (void)fcntl(read_end_, F_SETFL, O_NONBLOCK);
@@ -61,11 +61,9 @@
     int read_end_ = -1;
 };
 
-} // namespace
-
-Test(event_log, stalled_reader_blocks_no_writer_and_gets_later_lines, .timeout = 60) {
-    stalled_output output;
-    app::start_logging(app::log_stream::output);
+void expect_no_writer_blocked(int fd, app::log_stream target) {
+    stalled_output output(fd);
+    app::start_logging(target);
     app::event_log log("i-1");
     constexpr int lines_beyond_pipe_capacity = 20'000;
     for (int i = 0; i < lines_beyond_pipe_capacity; ++i)
@@ -77,3 +75,13 @@
     cr_assert_neq(text.find("\"after\""), std::string::npos, "%s", text.c_str());
     cr_assert(text.ends_with("\n"));
 }
+
+} // namespace
+
+Test(event_log, stalled_reader_of_the_output_blocks_no_writer_and_gets_later_lines, .timeout = 60) {
+    expect_no_writer_blocked(STDOUT_FILENO, app::log_stream::output);
+}
+
+Test(event_log, stalled_reader_of_errors_blocks_no_writer_and_gets_later_lines, .timeout = 60) {
+    expect_no_writer_blocked(STDERR_FILENO, app::log_stream::error);
+}
