serve: kept connections of callers leave descriptors for engines and peers

They get the share that descriptor_shares gives them, and the limit is raised at the start. Connections to engines are bounded by the requests under way, idle ones by the client's own limits per engine.

--- a/azureyoke/src/app/commands.cpp
+++ b/azureyoke/src/app/commands.cpp
@@ -15,6 +15,7 @@
 #include "azureyoke/src/app/audit_run.h"
 #include "azureyoke/src/app/forward_settings.h"
 #include "azureyoke/src/app/instance.h"
+#include "azureyoke/src/transport/descriptor_limit.h"
 
 DEFINE_string(settings, "", "file of process settings, JSON with comments (serve)");
 DEFINE_string(platform, "", "IP:PORT of the platform (apply, audit)");
@@ -82,7 +83,7 @@
     }
     start_logging();
     transport::event_loop loop;
-    instance server(loop, *settings);
+    instance server(loop, *settings, transport::raise_descriptor_limit());
     server.start();
     for (int number : {SIGTERM, SIGINT})
         loop.on_signal(number, [&] { server.drain(); });
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -46,20 +46,6 @@
     return result;
 }
 
-const char* name_of(transport::connection_shortage what) {
-    switch (what) {
-    case transport::connection_shortage::idle_closed:
-        return "idle_closed";
-    case transport::connection_shortage::left_waiting:
-        return "left_waiting";
-    case transport::connection_shortage::new_closed:
-        return "new_closed";
-    case transport::connection_shortage::no_descriptor:
-        return "no_descriptor";
-    }
-    return "unnamed";
-}
-
 } // namespace
 } // namespace internal
 
@@ -131,7 +117,7 @@
 }
 
 void forward_instance::on_connection_shortage(transport::connection_shortage what) {
-    const char* name = internal::name_of(what);
+    const char* name = transport::name_of(what);
     metrics_.count("azureyoke_connection_shortages_total", "what", name);
     std::int64_t left_out = 0;
     if (log_limiter_.try_acquire(event_id::connections_short, loop_.now(), left_out))
--- a/azureyoke/src/app/instance.cpp
+++ b/azureyoke/src/app/instance.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t max_traces = 4096;
+constexpr int log_lines_per_second = 10; ///< Of one event that comes with each connection.
 constexpr transport::duration drain_check_period = std::chrono::milliseconds(20);
 constexpr transport::duration gossip_period = std::chrono::seconds(2);
 /// One gossip round in this many goes to a peer in another data centre.
@@ -55,11 +56,12 @@
 } // namespace
 } // namespace internal
 
-instance::instance(transport::event_loop& loop, instance_settings settings)
+instance::instance(transport::event_loop& loop, instance_settings settings,
+                   std::size_t max_descriptors)
     : loop_(loop), settings_(std::move(settings)), self_{settings_.instance, settings_.data_centre,
                                                          internal::new_incarnation()},
-      log_(settings_.instance), history_(internal::max_traces),
-      client_(loop, internal::client_limits(settings_)),
+      log_(settings_.instance), log_limiter_(internal::log_lines_per_second),
+      history_(internal::max_traces), client_(loop, internal::client_limits(settings_)),
       platform_client_(loop, internal::platform_limits()),
       platform_(platform_client_, settings_.platform), audit_(loop, platform_, log_, self_),
       router_(internal::router_settings_of(settings_, self_.incarnation)),
@@ -92,10 +94,18 @@
       snapshots_(loop, platform_, router_, log_, self_,
                  std::chrono::milliseconds(settings_.memory_period_ms)),
       callers_(
-          loop, internal::server_limits(settings_),
+          loop, internal::server_limits(settings_, max_descriptors),
           [this](const auto& exchange) { on_caller_request(exchange); },
           [this](auto why) {
               return protocol::render(protocol::to_caller_error(why), services_.make_id());
+          },
+          [this](auto what) {
+              metrics_.count("azureyoke_connection_shortages_total", "what",
+                             transport::name_of(what));
+              std::int64_t left_out = 0;
+              if (log_limiter_.try_acquire(event_id::connections_short, loop_.now(), left_out))
+                  log_.warn(event_id::connections_short, {{"what", transport::name_of(what)},
+                                                          {"left_out", std::to_string(left_out)}});
           }),
       operators_(loop, transport::front_limits{},
                  [this](const auto& exchange) { on_operator_request(exchange); }),
--- a/azureyoke/src/app/instance.h
+++ b/azureyoke/src/app/instance.h
@@ -9,6 +9,7 @@
 #include "azureyoke/src/app/audit_service.h"
 #include "azureyoke/src/app/caller_services.h"
 #include "azureyoke/src/app/configuration_service.h"
+#include "azureyoke/src/app/log_rate_limiter.h"
 #include "azureyoke/src/app/notice_rate_limiter.h"
 #include "azureyoke/src/app/operator_pages.h"
 #include "azureyoke/src/app/peer_mesh.h"
@@ -25,7 +26,8 @@
 /// Not thread safe: all calls come from the thread of the event loop.
 class instance : private peer_listener {
 public:
-    instance(transport::event_loop& loop, instance_settings settings);
+    /// \brief `max_descriptors` is the limit of this process.
+    instance(transport::event_loop& loop, instance_settings settings, std::size_t max_descriptors);
     ~instance() override;
     instance(const instance&) = delete;
     instance& operator=(const instance&) = delete;
@@ -73,6 +75,7 @@
     instance_settings settings_;
     instance_identity self_;
     event_log log_;
+    log_rate_limiter log_limiter_;
     metrics metrics_;
     request_history history_;
     transport::http_client client_;
--- a/azureyoke/src/app/instance_limits.h
+++ b/azureyoke/src/app/instance_limits.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "azureyoke/src/app/descriptor_shares.h"
 #include "azureyoke/src/app/settings.h"
 #include "azureyoke/src/transport/front_server.h"
 #include "azureyoke/src/transport/http_client.h"
@@ -25,8 +26,10 @@
     return limits;
 }
 
-inline transport::front_limits server_limits(const instance_settings& settings) {
+inline transport::front_limits server_limits(const instance_settings& settings,
+                                             std::size_t max_descriptors) {
     transport::front_limits limits;
+    limits.max_connections = divide_descriptors(max_descriptors).callers;
     limits.max_head_bytes = static_cast<std::size_t>(settings.max_header_bytes);
     limits.max_body_bytes = static_cast<std::size_t>(settings.max_body_bytes);
     limits.head_timeout = std::chrono::milliseconds(settings.read_timeout_ms);
--- a/azureyoke/src/transport/front_server.cpp
+++ b/azureyoke/src/transport/front_server.cpp
@@ -153,6 +153,20 @@
     return finished() ? 0 : connection_->held_output();
 }
 
+const char* name_of(connection_shortage what) {
+    switch (what) {
+    case connection_shortage::idle_closed:
+        return "idle_closed";
+    case connection_shortage::left_waiting:
+        return "left_waiting";
+    case connection_shortage::new_closed:
+        return "new_closed";
+    case connection_shortage::no_descriptor:
+        return "no_descriptor";
+    }
+    return "unnamed";
+}
+
 int refusal_status(front_refusal reason) {
     switch (reason) {
     case front_refusal::head_too_large:
--- a/azureyoke/src/transport/front_server.h
+++ b/azureyoke/src/transport/front_server.h
@@ -34,6 +34,9 @@
     no_descriptor ///< Could not accept a new connection: the process is out of descriptors.
 };
 
+/// \returns the name of `what` in logs and metrics.
+const char* name_of(connection_shortage what);
+
 /// \returns the HTTP status for a refusal.
 int refusal_status(front_refusal reason);
 /// \returns a description of the violated rule.
