Servers that register again unchanged after the registry was restored are used

Callers saw 503 "no backend server of pool is usable" for each kind of request at every instance, for good, after the store had returned empty or from a copy without the servers, and these had written their registrations again as they were. The log named the cause: platform_row_unreadable, "the registration is older than its recorded end".

Cause: being missing from the restored list counted as the end of a server, and an entry with the number of the last known registration as one of the copy. Class: the absence of news is taken for news.

Change: a registration carries its version in the registry. What was written after the first list that followed the restore comes from a server that runs, and is taken whatever its number. Entries of that first list are compared with recorded ends as before.

--- a/azureyoke/src/coordination/fleet_directory.cpp
+++ b/azureyoke/src/coordination/fleet_directory.cpp
@@ -21,9 +21,13 @@
     return true;
 }
 
+bool fleet_directory::written_since_restore(const state::fleet_server& entry) const {
+    return first_list_version_ && entry.written > *first_list_version_;
+}
+
 bool fleet_directory::outdated(const state::fleet_server& entry) const {
     auto found = last_registrations_.find(entry.id);
-    if (!restored_from_copy_ || found == last_registrations_.end())
+    if (!restored_from_copy_ || found == last_registrations_.end() || written_since_restore(entry))
         return false;
     const auto& last = found->second;
     return std::pair(entry.started_ms, entry.registration) <
@@ -38,6 +42,7 @@
 
 void fleet_directory::on_registry_restored(instant now) {
     restored_from_copy_ = true;
+    first_list_version_.reset();
     on_registry_recovered(now);
 }
 
@@ -83,8 +88,13 @@
 
 void fleet_directory::replace_all(const std::vector<state::fleet_server>& entries, instant now) {
     std::map<std::string, state::fleet_server> listed;
-    for (const auto& it : entries)
+    state::record_version newest;
+    for (const auto& it : entries) {
         listed.emplace(it.id, it);
+        newest = std::max(newest, it.written);
+    }
+    if (restored_from_copy_ && !first_list_version_)
+        first_list_version_ = newest;
     std::vector<std::string> missing;
     for (const auto& [id, it] : servers_) {
         if (!listed.contains(id) && !grace_until_.contains(id))
--- a/azureyoke/src/coordination/fleet_directory.h
+++ b/azureyoke/src/coordination/fleet_directory.h
@@ -46,7 +46,9 @@
 /// Fault pattern: the registry is restored from an older copy, which lists servers that have since
 /// gone and lacks servers that registered since. The former are recognised by the start of their
 /// run and the number of the registration, which rises as long as a server runs; the latter
-/// register again within the grace period. Pure. Not thread safe.
+/// register again within the grace period or later, and possibly unchanged. What was written after
+/// the first list that followed the restore comes from a server that runs, whatever its number.
+/// Pure. Not thread safe.
 class fleet_directory {
 public:
     explicit fleet_directory(const directory_settings& settings);
@@ -100,6 +102,8 @@
     };
 
     bool departure_announced(const state::fleet_server& entry) const;
+    /// \returns whether the entry was written after the registry was restored, as far as known.
+    bool written_since_restore(const state::fleet_server& entry) const;
     /// \returns whether the entry comes from a restored copy and predates the server's departure.
     bool outdated(const state::fleet_server& entry) const;
     void record_last_registration(const state::fleet_server& entry, instant now);
@@ -111,6 +115,8 @@
     std::map<std::string, known_departure> departures_;
     std::map<std::string, last_registration> last_registrations_;
     bool restored_from_copy_ = false; ///< Registry rows may be older than what is known here.
+    /// The newest entry of the first list after the restore; absent before that list.
+    std::optional<state::record_version> first_list_version_;
     std::optional<instant> registry_back_at_;
 };
 
--- a/azureyoke/src/state/fleet_server.h
+++ b/azureyoke/src/state/fleet_server.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "azureyoke/src/state/record_version.h"
+
 namespace azureyoke::state {
 
 /// \brief A backend server's registration.
@@ -22,6 +24,7 @@
     /// server restarted, a greater one that the registration is newer.
     std::int64_t started_ms = 0;
     std::int64_t registration = 0; ///< Counts the writes of the registration during one run.
+    record_version written;        ///< Of the registration, in the registry; default if not known.
     std::map<std::string, std::int64_t> models; ///< Weights version by model name.
 
     friend bool operator==(const fleet_server&, const fleet_server&) = default;
