Instances that reach no backend server hand requests on to peers that do

Callers saw 503, after tries at one server after the other, at each instance that was cut off from all servers, while its peers reached them. Peers also suspected prompt parts on the word of cut-off instances.

Cause: nothing knew of the instance's own path; each failure was charged to the server that showed it. Class: a failure of one's own is taken for one of the other side.

Change: - path_watch decides from connections to servers, made for requests and as probes, whether the path is lost: two servers or more fail over 60 ms, none is reached between; four if answers still come on open connections. Requests that wait in silence for 0.4 s are a reason to probe. Back after three probes in a row over half a second; servers that were suspended meanwhile are used again. - While it is lost a request that was sent to nobody goes to a peer (helper_choice: fewest requests under way, own data centre first), over TCP at the peers' address. It hands nothing on itself. While open connections work, requests use those first. - A crash is reported to peers only if another server can be reached; a failed connection ends no wait for a run while the path is lost.

--- a/azureyoke/src/app/event_log.cpp
+++ b/azureyoke/src/app/event_log.cpp
@@ -56,6 +56,8 @@
         {event_id::part_suspected, "part_suspected"},
         {event_id::part_cleared, "part_cleared"},
         {event_id::replica_crashed, "replica_crashed"},
+        {event_id::servers_unreachable, "servers_unreachable"},
+        {event_id::servers_reached, "servers_reached"},
         {event_id::peer_connected, "peer_connected"},
         {event_id::peer_lost, "peer_lost"},
         {event_id::peer_message_refused, "peer_message_refused"},
--- a/azureyoke/src/app/event_log.h
+++ b/azureyoke/src/app/event_log.h
@@ -46,6 +46,8 @@
     part_suspected = 4009,
     part_cleared = 4010,
     replica_crashed = 4011,
+    servers_unreachable = 4012,
+    servers_reached = 4013,
     peer_connected = 5001,
     peer_lost = 5002,
     peer_message_refused = 5003,
--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -16,6 +16,7 @@
         services_.measures.count("azureyoke_doubtful_refusals_total", "pool", pool_);
         return answer_verdict::reject;
     }
+    services_.paths.on_heard(call_ != nullptr && !call_->on_kept_connection());
     auto& router = services_.state.router;
     if (report.running)
         router.on_load_report(choice_->server, *report.running, report.waiting.value_or(0),
@@ -124,6 +125,7 @@
         buffer_piece(piece);
         return;
     case answer_mode::pass_through:
+        services_.paths.on_heard(false);
         if (route_->rule == state::execution_rule::stream) {
             forward_events(piece);
         } else {
--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -38,8 +38,8 @@
     if (finished_)
         return;
     auto self = shared_from_this();
-    bool under_way = choice_.has_value();
-    if (under_way)
+    bool under_way = choice_.has_value() || !helper_.empty();
+    if (choice_)
         end_call(first_answer_seen_ ? call_outcome::cancelled : call_outcome::incomplete);
     refuse(under_way || may_have_run_ ? 504 : 503,
            exchange_->started() ? "its time is over" : "no answer in the route's time");
@@ -48,8 +48,8 @@
 void forward_session::on_instance_ending() {
     if (finished_)
         return;
-    bool under_way = choice_.has_value();
-    if (under_way)
+    bool under_way = choice_.has_value() || !helper_.empty();
+    if (choice_)
         end_call(call_outcome::cancelled);
     refuse(under_way || may_have_run_ ? 502 : 503, "this instance ends before the answer is whole",
            min_retry_after_s);
@@ -65,6 +65,7 @@
 
 void forward_session::end_call(call_outcome outcome) {
     services_.state.router.on_call_outcome(*choice_, outcome, services_.loop.now());
+    services_.paths.on_ended();
     choice_.reset();
     answer_timer_.reset();
     call_.reset();
@@ -96,6 +97,8 @@
     bool retry_useful = status == 503 || status == 429;
     auto fields = services_.dialect.refusal_fields(request_info_.request_id,
                                                    retry_useful ? retry_after_s : std::nullopt);
+    if (origin_ == request_origin::instance && possible_runs_ == 0)
+        fields.push_back({refused_help_field, "1"});
     exchange_->reply({status, fields, why + "\n"});
     services_.measures.count("azureyoke_refusals_total", "status", std::to_string(status));
     finish(event_id::request_refused, std::to_string(status) + ": " + why);
@@ -111,6 +114,7 @@
         return;
     finished_ = true;
     add_step(detail);
+    end_help();
     services_.history.add({request_info_.request_id, workspace_ == nullptr ? "" : workspace_->name,
                            route_ == nullptr ? "" : route_->name, std::move(steps_)});
     deadline_timer_.reset();
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -68,17 +68,18 @@
       policies_(loop, state_, peers_, dependencies_.registry, backends_, log_, log_limiter_,
                 metrics_, incarnation_, [this](const auto& it) { on_new_policy(it); }),
       permits_(loop, settings_, state_, peers_, log_, log_limiter_, metrics_),
-      parts_(loop, settings_, peers_, log_, log_limiter_, metrics_),
+      parts_(loop, settings_, peers_, log_, log_limiter_, metrics_, paths_),
       streams_(loop, settings_, state_, peers_, dependencies_.records, log_, metrics_),
-      runs_(loop, dependencies_.runs, log_, log_limiter_, metrics_),
-      answer_bytes_(internal::max_answer_bytes), services_{settings_,    loop_,
-                                                           backends_,    dependencies_.dialect,
-                                                           state_,       log_,
-                                                           log_limiter_, metrics_,
-                                                           history_,     permits_,
-                                                           parts_,       streams_,
-                                                           runs_,        answer_bytes_,
-                                                           false},
+      paths_(loop, settings_, state_, peers_, log_, metrics_),
+      runs_(loop, dependencies_.runs, log_, log_limiter_, metrics_, paths_),
+      answer_bytes_(internal::max_answer_bytes), services_{settings_,     loop_,
+                                                           backends_,     dependencies_.dialect,
+                                                           state_,        log_,
+                                                           log_limiter_,  metrics_,
+                                                           history_,      permits_,
+                                                           parts_,        streams_,
+                                                           runs_,         paths_,
+                                                           answer_bytes_, false},
       weights_(loop, settings_, incarnation_, state_, dependencies_.records, dependencies_.orders,
                peers_, log_),
       callers_(
@@ -88,6 +89,11 @@
           },
           [this](transport::front_refusal why) { return refuse_unparsed(why); },
           [this](auto what) { on_connection_shortage(what); }),
+      helped_(loop, internal::limits_of(descriptors_.helped),
+              [this](const auto& exchange) {
+                  std::make_shared<forward_session>(services_, exchange, request_origin::instance)
+                      ->start();
+              }),
       readiness_(
           loop, internal::limits_of(descriptors_.other_servers),
           [this](const auto& exchange) {
@@ -133,7 +139,7 @@
     // Callers come last: they must not reach an instance that waits for another address.
     binder_.start({listen(readiness_, settings_.readiness), listen(operators_, settings_.operators),
                    [this] { return peers_.start().map([](const auto& /*bound*/) {}); },
-                   listen(callers_, settings_.callers)},
+                   listen(helped_, settings_.peers), listen(callers_, settings_.callers)},
                   [this] { on_bound(); });
 }
 
@@ -156,6 +162,7 @@
 
 void forward_instance::on_new_policy(const policy_copy& copy) {
     callers_.set_limits(internal::limits_of(copy.policy->bounds(), descriptors_.callers));
+    helped_.set_limits(internal::limits_of(copy.policy->bounds(), descriptors_.helped));
     streams_.on_fleet_changed();
     peers_.send_now();
 }
@@ -317,6 +324,7 @@
     policies_.tick();
     permits_.tick();
     parts_.tick();
+    paths_.tick();
     streams_.tick();
     for (auto& [model, it] : state_.desired_weights)
         it.drop_obsolete(std::chrono::milliseconds(settings_.weights_limit_ms), now);
@@ -345,13 +353,14 @@
     }
     weights_.stop();
     callers_.close_after_answers();
+    helped_.close_after_answers();
     drain_timer_ = loop_.every(internal::drain_check_period, [this] { check_drained(); });
 }
 
 void forward_instance::check_drained() {
     auto waited = loop_.now() - drain_began_;
     auto limit = std::chrono::milliseconds(settings_.drain_limit_ms);
-    auto busy = callers_.busy_connections();
+    auto busy = callers_.busy_connections() + helped_.busy_connections();
     if (waited < internal::drain_grace)
         return;
     // Callers use other instances by now, and a request that arrives later might not end in time.
@@ -360,12 +369,15 @@
     services_.refuse_all = true;
     callers_.stop_listening();
     callers_.close_idle();
+    helped_.stop_listening();
+    helped_.close_idle();
     bool idle = busy == 0 && was_idle_;
     was_idle_ = busy == 0;
     if (!idle && waited < limit)
         return;
     auto running_timer = std::move(drain_timer_);
     callers_.end_answers();
+    helped_.end_answers();
     streams_.leave();
     peers_.leave();
     log_.write(event_id::drain_finished,
--- a/azureyoke/src/app/forward_instance.h
+++ b/azureyoke/src/app/forward_instance.h
@@ -8,6 +8,7 @@
 #include "azureyoke/src/app/forward_pages.h"
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/app/part_service.h"
+#include "azureyoke/src/app/path_service.h"
 #include "azureyoke/src/app/peer_directory.h"
 #include "azureyoke/src/app/permit_service.h"
 #include "azureyoke/src/app/policy_service.h"
@@ -91,11 +92,13 @@
     permit_service permits_;
     part_service parts_;
     stream_service streams_;
+    path_service paths_;
     run_watch_service runs_;
     transport::byte_budget answer_bytes_;
     forward_services services_;
     weights_service weights_;
     transport::front_server callers_;
+    transport::front_server helped_; ///< For instances that reach no server.
     transport::front_server readiness_;
     forward_pages pages_;
     transport::front_server operators_;
--- a/azureyoke/src/app/forward_ports.h
+++ b/azureyoke/src/app/forward_ports.h
@@ -201,6 +201,10 @@
                                                      std::string& why) const = 0;
     virtual transport::http_fields request_fields(const transport::http_request& request,
                                                   const forward_directive& directive) const = 0;
+    /// \returns the fields of a request that is handed on to another instance, as the caller sent
+    /// them but with the remaining time. \pre `remaining_ms` >= 0
+    virtual transport::http_fields handed_on_fields(const transport::http_request& request,
+                                                    std::int64_t remaining_ms) const = 0;
     virtual answer_info read_answer(const transport::http_head& head) const = 0;
     /// \returns the fields of an answer that the caller receives.
     virtual transport::http_fields answer_fields(const transport::http_head& head) const = 0;
--- a/azureyoke/src/app/forward_rules.h
+++ b/azureyoke/src/app/forward_rules.h
@@ -52,6 +52,11 @@
 constexpr coordination::duration rejection_timeout = std::chrono::milliseconds(100);
 constexpr std::size_t max_rejection_bytes = 16 * 1024;
 
+/// Helpers that may refuse a request in turn before this instance tries the servers itself.
+constexpr int max_help_refusals = 4;
+/// Field of a helper's own refusal, between instances only: the request did not and will not run.
+constexpr const char* refused_help_field = "Azureyoke-Not-Run";
+
 /// \returns whether callers read the status as a promise that the request did not run.
 inline bool means_not_run(int status) {
     return status == 503 || status == 429 || status == 408 || status == 421;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -10,8 +10,10 @@
 using coordination::call_outcome;
 
 forward_session::forward_session(forward_services& services,
-                                 std::shared_ptr<transport::front_exchange> exchange)
-    : services_(services), exchange_(std::move(exchange)), held_bytes_(services.answer_bytes) {}
+                                 std::shared_ptr<transport::front_exchange> exchange,
+                                 request_origin origin)
+    : services_(services), exchange_(std::move(exchange)), origin_(origin),
+      held_bytes_(services.answer_bytes) {}
 
 double forward_session::remaining_ms() const {
     return coordination::to_seconds(deadline_ - services_.loop.now()) * 1000;
@@ -39,7 +41,15 @@
     });
     deadline_timer_ =
         services_.loop.after(deadline_ - services_.loop.now(), [this] { on_deadline(); });
-    services_.state.retry_budget(pool_).on_request(services_.loop.now());
+    if (origin_ == request_origin::instance && services_.paths.lost()) {
+        refuse(503, "this instance reaches no backend server itself", min_retry_after_s);
+        return;
+    }
+    if (origin_ == request_origin::caller)
+        services_.state.retry_budget(pool_).on_request(services_.loop.now());
+    bool cut_off = services_.paths.lost() && !services_.paths.open_connections_work();
+    if (cut_off && hand_on())
+        return;
     if (takes_up_stream())
         find_stream();
     else
@@ -97,7 +107,7 @@
 
 bool forward_session::charge_rate_limit() {
     auto* limit = workspace_ == nullptr ? nullptr : services_.state.find_limit(workspace_->name);
-    if (limit == nullptr)
+    if (limit == nullptr || origin_ == request_origin::instance)
         return true;
     auto now = services_.loop.now();
     double cost = 1;
@@ -140,6 +150,9 @@
         refuse(may_have_run_ ? 502 : 401, "the key was withdrawn");
         return;
     }
+    bool cut_off = services_.paths.lost() && !services_.paths.open_connections_work();
+    if (cut_off && hand_on())
+        return;
     if (!pass_part_guard())
         return;
     if (!choose_server()) {
@@ -224,6 +237,14 @@
         pass_over_choice("server may have another software version now");
         return;
     }
+    if (services_.paths.lost() && !services_.backends.has_idle(*address) && may_hand_on()) {
+        choice_.reset();
+        if (hand_on())
+            return;
+        refuse(503, "no backend server can be connected to",
+               bounded_retry_after(retry_after_no_server_s));
+        return;
+    }
     const auto& original = exchange_->request();
     transport::http_request request{original.method, original.target,
                                     services_.dialect.request_fields(original, make_directive()),
@@ -252,6 +273,7 @@
     run_began_ = false;
     run_left_behind_ = false;
     services_.state.router.on_sent(query_, *choice_, sent_at_);
+    services_.paths.on_sent();
     if (services_.state.server_limits.limit_of(last_server_))
         services_.measures.count("azureyoke_limited_sends_total", "backend_server", last_server_);
     // A second refusal of the first try, with the same id, may lie on a connection that is kept.
@@ -303,6 +325,8 @@
                          : first_answer_seen_    ? "broken off"
                                                  : "lost";
     services_.measures.count("azureyoke_failed_attempts_total", "result", result);
+    if (!ec.may_have_sent_bytes)
+        services_.paths.on_unreachable(last_server_);
     if (ec.may_have_sent_bytes && ec.code == transport::errc::connection_lost) {
         lost_sends_ += first_answer_seen_ ? 0 : 1;
         check_for_crash(false);
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -11,6 +11,12 @@
 
 namespace azureyoke::app {
 
+/// \brief Where a request comes from.
+enum class request_origin {
+    caller,
+    instance ///< One that reaches no server has charged the limit, and hands the request on.
+};
+
 /// \brief Forwards one request to a backend server and returns the answer. The bodies are not
 /// changed; the dialect translates the header fields.
 ///
@@ -20,8 +26,8 @@
 class forward_session : public std::enable_shared_from_this<forward_session>,
                         public transport::backend_answer_sink {
 public:
-    forward_session(forward_services& services,
-                    std::shared_ptr<transport::front_exchange> exchange);
+    forward_session(forward_services& services, std::shared_ptr<transport::front_exchange> exchange,
+                    request_origin origin = request_origin::caller);
 
     void start();
 
@@ -38,8 +44,18 @@
     void on_end() override;
     void on_failure(const transport::error& ec) override;
 
+    class helped_answer;
+
     void on_instance_ending();
     bool admit();
+    bool may_hand_on() const;
+    /// Hands the request on to an instance that may reach servers. \returns whether there is one.
+    bool hand_on();
+    void end_help();
+    void on_help_complete(const std::string& helper);
+    /// The helper did not run the request: looks for another one.
+    void on_help_refused(const std::string& helper, const std::string& why);
+    void on_help_lost(const std::string& helper, const transport::error& ec);
     bool authenticate();
     bool charge_rate_limit();
     /// Whether the caller takes up a stream that broke off.
@@ -136,6 +152,9 @@
 
     forward_services& services_;
     std::shared_ptr<transport::front_exchange> exchange_;
+    request_origin origin_;
+    std::string helper_; ///< The instance that has the request now, if any.
+    int help_refusals_ = 0;
     request_info request_info_;
     std::shared_ptr<const state::traffic_policy> policy_;
     const state::forward_route* route_ = nullptr;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -14,6 +14,7 @@
 #include "azureyoke/src/app/permit_source.h"
 #include "azureyoke/src/app/request_history.h"
 #include "azureyoke/src/app/run_watcher.h"
+#include "azureyoke/src/app/server_path.h"
 #include "azureyoke/src/app/stream_registry.h"
 #include "azureyoke/src/coordination/desired_weights.h"
 #include "azureyoke/src/coordination/fleet_directory.h"
@@ -81,6 +82,7 @@
     part_guard& parts;
     stream_registry& streams;
     run_watcher& runs;
+    server_path& paths;
     transport::byte_budget& answer_bytes; ///< Held by all sessions.
     bool refuse_all = false;              ///< The instance is about to exit.
 };
--- a/azureyoke/src/app/part_service.cpp
+++ b/azureyoke/src/app/part_service.cpp
@@ -36,10 +36,11 @@
 
 part_service::part_service(transport::event_loop& loop, const forward_settings& settings,
                            const peer_directory& peers, const event_log& log,
-                           log_rate_limiter& log_limiter, metrics& measures)
+                           log_rate_limiter& log_limiter, metrics& measures, server_path& paths)
     : loop_(loop), settings_(settings), peers_(peers), log_(log), log_limiter_(log_limiter),
-      measures_(measures), suspicions_({}), random_(static_cast<std::minstd_rand::result_type>(
-                                                state::rendezvous_score(1, settings.instance))) {}
+      measures_(measures), paths_(paths), suspicions_({}),
+      random_(static_cast<std::minstd_rand::result_type>(
+          state::rendezvous_score(1, settings.instance))) {}
 
 coordination::part_assessment part_service::assess(const std::vector<std::string>& parts) const {
     return suspicions_.assess(parts, loop_.now());
@@ -81,20 +82,28 @@
 
 void part_service::on_probed(const std::string& server, transport::connect_result result) {
     auto node = checks_.extract(server);
-    auto& check = node.mapped();
+    auto check = std::make_shared<server_check>(std::move(node.mapped()));
     // The caller is a function of the probe.
-    loop_.defer([probe = std::shared_ptr<transport::connect_probe>(std::move(check.probe))] {});
-    bool crashed = result == transport::connect_result::refused;
-    for (const auto& [lost, on_crash] : check.lost) {
-        if (crashed) {
-            charge(lost, {internal::crash_id(lost), check.lost_at, lost.reached});
-            on_crash();
-        } else if (lost.may_be_complete && result == transport::connect_result::accepted) {
-            on_answer(lost.parts, coordination::answer_progress::complete());
+    loop_.defer([check] { check->probe.reset(); });
+    if (result != transport::connect_result::refused) {
+        bool accepted = result == transport::connect_result::accepted;
+        for (const auto& [lost, on_crash] : check->lost) {
+            if (lost.may_be_complete && accepted)
+                on_answer(lost.parts, coordination::answer_progress::complete());
         }
-    }
-    if (!crashed)
         return;
+    }
+    for (const auto& [lost, on_crash] : check->lost)
+        on_crash();
+    paths_.check(server, [this, server, check](bool others_reached) {
+        if (others_reached)
+            on_crash_confirmed(server, *check);
+    });
+}
+
+void part_service::on_crash_confirmed(const std::string& server, const server_check& check) {
+    for (const auto& [lost, on_crash] : check.lost)
+        charge(lost, {internal::crash_id(lost), check.lost_at, lost.reached});
     auto begun = std::count_if(check.lost.begin(), check.lost.end(), [](const auto& it) {
         return it.first.reached > coordination::answer_progress();
     });
--- a/azureyoke/src/app/part_service.h
+++ b/azureyoke/src/app/part_service.h
@@ -13,6 +13,7 @@
 #include "azureyoke/src/app/part_guard.h"
 #include "azureyoke/src/app/part_message.h"
 #include "azureyoke/src/app/peer_directory.h"
+#include "azureyoke/src/app/server_path.h"
 #include "azureyoke/src/transport/connect_probe.h"
 
 namespace azureyoke::app {
@@ -28,7 +29,7 @@
 public:
     part_service(transport::event_loop& loop, const forward_settings& settings,
                  const peer_directory& peers, const event_log& log, log_rate_limiter& log_limiter,
-                 metrics& measures);
+                 metrics& measures, server_path& paths);
 
     coordination::part_assessment assess(const std::vector<std::string>& parts) const override;
     void acquire_trial(const std::string& part, trial_handler done) override;
@@ -64,6 +65,8 @@
     void send(const std::string& instance, const std::vector<std::string>& messages) const;
     std::vector<std::string> messages_about(const std::vector<std::string>& parts) const;
     void on_probed(const std::string& server, transport::connect_result result);
+    /// The server does not accept connections, and the path to other servers is sound.
+    void on_crash_confirmed(const std::string& server, const server_check& check);
     void charge(const lost_request& lost, const coordination::crash_mark& crash);
     void on_news(const part_news& news);
     void on_request(const trial_request& request);
@@ -82,6 +85,7 @@
     const event_log& log_;
     log_rate_limiter& log_limiter_;
     metrics& measures_;
+    server_path& paths_;
     coordination::part_suspicions suspicions_;
     std::map<std::string, server_check> checks_; ///< By server.
     std::map<std::uint64_t, pending_trial> pending_;
--- /dev/null
+++ b/azureyoke/src/app/path_service.cpp
@@ -0,0 +1,155 @@
+#include "azureyoke/src/app/path_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "azureyoke/src/state/prefix_hashes.h"
+
+namespace azureyoke::app {
+
+namespace internal {
+namespace {
+
+constexpr transport::duration probe_timeout = std::chrono::milliseconds(300);
+/// Servers that are tried before the path counts as lost in a check.
+constexpr std::size_t max_checked_servers = 4;
+
+std::uint32_t seed_of(const forward_settings& settings) {
+    return static_cast<std::uint32_t>(state::rendezvous_score(1, settings.instance));
+}
+
+} // namespace
+} // namespace internal
+
+path_service::path_service(transport::event_loop& loop, const forward_settings& settings,
+                           forward_state& state, const peer_directory& peers, const event_log& log,
+                           metrics& measures)
+    : loop_(loop), settings_(settings), state_(state), peers_(peers), log_(log),
+      measures_(measures), watch_({}), helpers_(internal::seed_of(settings)),
+      random_(internal::seed_of(settings)) {}
+
+void path_service::tick() {
+    auto now = loop_.now();
+    if (!watch_.probe_due(now))
+        return;
+    watch_.on_probe(now);
+    // Two servers tell a lost path from a server that is down.
+    std::size_t count = watch_.lost() ? 1 : 2;
+    auto list = targets({});
+    for (std::size_t i = 0; i < std::min(count, list.size()); ++i)
+        probe(list[i], nullptr);
+}
+
+void path_service::on_sent() {
+    watch_.set_waiting(++waiting_, loop_.now());
+}
+
+void path_service::on_ended() {
+    watch_.set_waiting(--waiting_, loop_.now());
+}
+
+void path_service::on_heard(bool new_connection) {
+    watch_.on_heard(loop_.now());
+    if (new_connection)
+        on_connected();
+}
+
+void path_service::on_connected() {
+    auto now = loop_.now();
+    auto lost_since = watch_.lost() ? watch_.lost_since() : now;
+    if (!watch_.on_connected(now))
+        return;
+    state_.router.on_path_restored();
+    log_.write(event_id::servers_reached,
+               {{"lost_ms", std::to_string((now - lost_since) / std::chrono::milliseconds(1))},
+                {"handed_on", std::to_string(std::exchange(handed_on_, 0))}});
+}
+
+void path_service::on_unreachable(const std::string& server) {
+    auto now = loop_.now();
+    if (watch_.on_unreachable(server, state_.directory.all().size(), now))
+        log_.warn(
+            event_id::servers_unreachable,
+            {{"last", server}, {"open_connections_work", open_connections_work() ? "yes" : "no"}});
+}
+
+std::vector<path_service::target> path_service::targets(const std::string& except) {
+    std::vector<target> list;
+    for (const auto& [id, it] : state_.directory.all()) {
+        auto address = transport::parse_address(it.address);
+        if (id != except && address)
+            list.push_back({id, *address});
+    }
+    std::shuffle(list.begin(), list.end(), random_);
+    return list;
+}
+
+void path_service::probe(const target& to, std::function<void(bool reached)> done) {
+    auto place = probes_.insert(probes_.end(), nullptr);
+    *place = std::make_unique<transport::connect_probe>(
+        loop_, to.address, internal::probe_timeout,
+        [this, server = to.server, place,
+         done = std::move(done)](transport::connect_result result) {
+            auto ended = std::shared_ptr<transport::connect_probe>(std::move(*place));
+            probes_.erase(place);
+            loop_.defer([ended] {}); // this is called by the probe
+            bool reached = result == transport::connect_result::accepted;
+            on_probed(server, reached);
+            if (done)
+                done(reached);
+        });
+}
+
+void path_service::on_probed(const std::string& server, bool reached) {
+    measures_.count("azureyoke_path_probes_total", "result", reached ? "reached" : "failed");
+    if (reached)
+        on_connected();
+    else
+        on_unreachable(server);
+}
+
+void path_service::check(const std::string& server, std::function<void(bool reached)> done) {
+    auto list = targets(server);
+    if (list.size() > internal::max_checked_servers)
+        list.resize(internal::max_checked_servers);
+    if (list.empty())
+        done(true); // no other server could tell
+    else
+        check_next(std::move(list), std::move(done));
+}
+
+void path_service::check_next(std::vector<target> list, std::function<void(bool reached)> done) {
+    auto next = list.back();
+    list.pop_back();
+    probe(next, [this, list = std::move(list), done = std::move(done)](bool reached) {
+        if (reached || list.empty())
+            done(reached);
+        else
+            check_next(list, done);
+    });
+}
+
+std::optional<request_helper> path_service::choose_helper() {
+    auto now = loop_.now();
+    std::vector<coordination::helper_candidate> candidates;
+    for (const auto& name : peers_.live(now)) {
+        if (name != settings_.instance)
+            candidates.push_back({name, peers_.data_centre_of(name) == settings_.data_centre});
+    }
+    auto chosen = helpers_.choose(candidates, now);
+    auto address = chosen ? peers_.address_of(*chosen) : std::nullopt;
+    return address ? std::optional(request_helper{*chosen, *address}) : std::nullopt;
+}
+
+void path_service::on_handed_on(const std::string& helper) {
+    ++handed_on_;
+    helpers_.on_sent(helper);
+    measures_.count("azureyoke_handed_on_total", "helper", helper);
+}
+
+void path_service::on_help_refused(const std::string& helper) {
+    helpers_.on_refused(helper, loop_.now());
+    measures_.count("azureyoke_refused_help_total", "helper", helper);
+}
+
+} // namespace azureyoke::app
--- a/azureyoke/src/app/run_watch_service.cpp
+++ b/azureyoke/src/app/run_watch_service.cpp
@@ -64,8 +64,9 @@
 
 run_watch_service::run_watch_service(transport::event_loop& loop, run_list_client& client,
                                      const event_log& log, log_rate_limiter& log_limiter,
-                                     metrics& measures)
-    : loop_(loop), client_(client), log_(log), log_limiter_(log_limiter), measures_(measures) {}
+                                     metrics& measures, const server_path& paths)
+    : loop_(loop), client_(client), log_(log), log_limiter_(log_limiter), measures_(measures),
+      paths_(paths) {}
 
 std::unique_ptr<run_watcher::watch> run_watch_service::await_end(const abandoned_run& run,
                                                                  std::function<void()> done) {
@@ -112,6 +113,8 @@
         if (it->since > asked)
             continue; // its question comes next
         auto report = internal::report_on(it->run.request_id, list);
+        if (report == run_report::unreachable && paths_.lost())
+            report = run_report::unanswered; // others may reach the server, and it may work on
         if (!it->check.on_report(report, asked))
             continue;
         log_end(*it, report);
--- a/azureyoke/src/app/run_watch_service.h
+++ b/azureyoke/src/app/run_watch_service.h
@@ -11,6 +11,7 @@
 #include "azureyoke/src/app/log_rate_limiter.h"
 #include "azureyoke/src/app/metrics.h"
 #include "azureyoke/src/app/run_watcher.h"
+#include "azureyoke/src/app/server_path.h"
 #include "azureyoke/src/coordination/run_end_check.h"
 #include "azureyoke/src/transport/event_loop.h"
 
@@ -23,7 +24,7 @@
 class run_watch_service : public run_watcher {
 public:
     run_watch_service(transport::event_loop& loop, run_list_client& client, const event_log& log,
-                      log_rate_limiter& log_limiter, metrics& measures);
+                      log_rate_limiter& log_limiter, metrics& measures, const server_path& paths);
 
     std::unique_ptr<watch> await_end(const abandoned_run& run, std::function<void()> done) override;
 
@@ -54,6 +55,7 @@
     const event_log& log_;
     log_rate_limiter& log_limiter_;
     metrics& measures_;
+    const server_path& paths_;
     std::map<std::string, watched_server> servers_;
 };
 
--- a/azureyoke/src/coordination/fleet_router.h
+++ b/azureyoke/src/coordination/fleet_router.h
@@ -162,6 +162,8 @@
     /// entries no longer match, since prefix hashes depend on the weights.
     void on_weights(const std::string& server, const std::string& model, std::int64_t version);
     void reset_server(const std::string& server);
+    /// \brief This instance reaches the servers again: failures while it did not were its own.
+    void on_path_restored();
 
     /// \returns this instance's work at each server that has any, for reports to the peers.
     std::map<std::string, server_work> own_work() const;
--- a/azureyoke/src/coordination/fleet_router_feedback.cpp
+++ b/azureyoke/src/coordination/fleet_router_feedback.cpp
@@ -159,6 +159,14 @@
     found->second = reset;
 }
 
+void fleet_router::on_path_restored() {
+    for (auto& [id, it] : views_) {
+        it.failures = 0;
+        it.suspension = {};
+        it.suspended_until = {};
+    }
+}
+
 int fleet_router::in_flight(const std::string& server) const {
     auto found = views_.find(server);
     return found == views_.end() ? 0 : found->second.own.in_flight;
--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -309,6 +309,11 @@
     return std::make_unique<backend_call>(std::move(connection), number);
 }
 
+bool backend_pool::has_idle(const address& to) const {
+    auto found = idle_.find(to);
+    return found != idle_.end() && found->second.back()->within_idle_limit(loop_.now());
+}
+
 void backend_pool::add_idle(const std::shared_ptr<backend_connection>& connection) {
     busy_.erase(connection.get());
     auto& list = idle_[connection->to()];
--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -87,6 +87,9 @@
 
     std::size_t idle_connections() const { return idle_connections_; }
 
+    /// \returns whether an idle connection to this address may be reused.
+    bool has_idle(const address& to) const;
+
 private:
     friend class backend_connection;
     std::shared_ptr<backend_connection> acquire(const address& to, bool reuse);
--- a/test/connection_shortage_test.cpp
+++ b/test/connection_shortage_test.cpp
@@ -205,7 +205,8 @@
         auto limit = *rc::gen::inRange<std::size_t>(128, 1 << 20);
         auto shares = app::divide_descriptors(limit);
         // The instance has two other servers: readiness and operators.
-        RC_ASSERT(shares.callers + shares.backends + 2 * shares.other_servers <= limit);
+        RC_ASSERT(shares.callers + shares.helped + shares.backends + 2 * shares.other_servers <=
+                  limit);
         RC_ASSERT(shares.callers >= 8U);
     });
 }
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -9,6 +9,7 @@
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/transport/backend_fetch.h"
 #include "test/scripted_guard.h"
+#include "test/scripted_path.h"
 #include "test/scripted_permits.h"
 #include "test/scripted_runs.h"
 #include "test/scripted_streams.h"
@@ -45,6 +46,16 @@
                 {"last", directive.last_event}};
     }
 
+    transport::http_fields handed_on_fields(const transport::http_request& request,
+                                            std::int64_t remaining_ms) const override {
+        auto fields = request.fields;
+        std::erase_if(fields, [](const auto& it) {
+            return it.name == "deadline" || it.name == "Content-Length";
+        });
+        fields.push_back({"deadline", std::to_string(remaining_ms)});
+        return fields;
+    }
+
     app::answer_info read_answer(const transport::http_head& head) const override {
         app::answer_info result;
         result.request_id = transport::find_field(head.fields, "id").value_or("");
@@ -165,7 +176,8 @@
 
 /// \brief The request path of a forwarding instance between a caller and two scripted servers.
 struct forward_fixture {
-    transport::event_loop loop;
+    std::unique_ptr<transport::event_loop> own_loop; ///< Null when several instances share one.
+    transport::event_loop& loop;
     scripted_server first{loop};
     scripted_server second{loop};
     app::forward_settings settings;
@@ -180,6 +192,7 @@
     scripted_guard guard;
     scripted_streams streams;
     scripted_runs run_ends{loop};
+    scripted_path paths;
     transport::byte_budget answer_bytes;
     std::unique_ptr<app::forward_state> state;
     std::unique_ptr<app::forward_services> services;
@@ -188,13 +201,28 @@
 
     explicit forward_fixture(const state::forward_route& route,
                              std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024)
-        : answer_bytes(max_answer_bytes) {
+        : forward_fixture(route, max_answer_bytes, std::make_unique<transport::event_loop>()) {}
+
+    /// \brief An instance that runs on the loop of another one.
+    forward_fixture(const state::forward_route& route, std::size_t max_answer_bytes,
+                    transport::event_loop& shared_loop)
+        : loop(shared_loop), answer_bytes(max_answer_bytes) {
+        start(route);
+    }
+
+    forward_fixture(const state::forward_route& route, std::size_t max_answer_bytes,
+                    std::unique_ptr<transport::event_loop> own)
+        : own_loop(std::move(own)), loop(*own_loop), answer_bytes(max_answer_bytes) {
+        start(route);
+    }
+
+    void start(const state::forward_route& route) {
         settings.instance = "test";
         settings.data_centre = "dc";
         state = std::make_unique<app::forward_state>(settings);
         services = std::make_unique<app::forward_services>(app::forward_services{
             settings, loop, backends, dialect, *state, log, log_limiter, measures, history, permits,
-            guard, streams, run_ends, answer_bytes, false});
+            guard, streams, run_ends, paths, answer_bytes, false});
         permits.router = &state->router;
         front = std::make_unique<transport::front_server>(
             loop, transport::front_limits{}, [this](const auto& exchange) {
--- /dev/null
+++ b/test/forward_hand_on_test.cpp
@@ -0,0 +1,142 @@
+// Guards against promises that break when a request is handed on to another instance.
+#include <memory>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "azureyoke/src/app/forward_rules.h"
+#include "test/forward_fixture.h"
+
+using namespace azureyoke;
+using state::execution_rule;
+
+namespace {
+
+/// An instance that reaches no server, and one that helps it.
+struct helped_fixture : forward_fixture {
+    forward_fixture helper;
+    std::unique_ptr<transport::front_server> helped;
+
+    explicit helped_fixture(const state::forward_route& route)
+        : forward_fixture(route), helper(route, 16 * 1024 * 1024, loop) {
+        helped = std::make_unique<transport::front_server>(
+            loop, transport::front_limits{}, [this](const auto& exchange) {
+                std::make_shared<app::forward_session>(*helper.services, exchange,
+                                                       app::request_origin::instance)
+                    ->start();
+            });
+        paths.is_lost = true;
+        paths.helpers = {{"helper", *helped->listen({"127.0.0.1", 0})}};
+    }
+};
+
+constexpr const char* whole =
+    "HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+Test(forward_hand_on, request_is_served_by_way_of_a_helper) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.first.script = {{whole}};
+    it.helper.second.script = {{whole}};
+    auto answer = it.fetch_answer();
+    cr_assert_eq(answer.status, 200);
+    cr_assert_eq(answer.body, "ok");
+    cr_assert(transport::find_field(answer.fields, "stamp").has_value());
+    cr_assert_eq(it.first.requests.size() + it.second.requests.size(), 0U);
+    cr_assert_eq(it.helper.first.requests.size() + it.helper.second.requests.size(), 1U);
+    cr_assert_eq(it.paths.helped, 0);
+}
+
+Test(forward_hand_on, helper_that_reaches_no_server_is_passed_over) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.paths.is_lost = true;
+    auto answer = it.fetch_answer();
+    cr_assert_eq(answer.status, 503); // nobody is left, and the own servers can't be connected to
+    cr_assert_not(transport::find_field(answer.fields, app::refused_help_field).has_value());
+    cr_assert_eq(it.paths.refused.size(), 1U);
+    cr_assert_eq(it.paths.helped, 0);
+}
+
+Test(forward_hand_on, helper_that_can_not_be_reached_is_passed_over) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.first.script = {{whole}};
+    it.helper.second.script = {{whole}};
+    it.paths.helpers.insert(it.paths.helpers.begin(), {"gone", {"127.0.0.1", 1}});
+    cr_assert_eq(it.fetch_answer().status, 200);
+    cr_assert_eq(it.paths.refused.size(), 1U);
+}
+
+// The helper may have passed the request on before it ended.
+Test(forward_hand_on, request_that_is_lost_with_its_helper_is_never_refused_as_not_run) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    scripted_server dying(it.loop);
+    dying.script = {{"", true}};
+    it.paths.helpers.insert(it.paths.helpers.begin(), {"dying", dying.at()});
+    it.helper.first.script = {{whole}};
+    it.helper.second.script = {{whole}};
+    cr_assert_eq(it.fetch_answer().status, 502);
+    cr_assert_eq(it.helper.first.requests.size() + it.helper.second.requests.size(), 0U);
+}
+
+Test(forward_hand_on, run_that_its_server_lost_is_no_promise_of_the_helper) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.first.script = {{"", true}};
+    it.helper.second.script = {{"", true}};
+    cr_assert_eq(it.fetch_answer().status, 502);
+    cr_assert_eq(it.helper.first.requests.size() + it.helper.second.requests.size(), 1U);
+}
+
+Test(forward_hand_on, broken_off_answer_does_not_look_complete) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    scripted_server dying(it.loop);
+    dying.script = {
+        {"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nContent-Length: 9\r\n\r\nhalf", true}};
+    it.paths.helpers = {{"dying", dying.at()}};
+    cr_assert_eq(it.fetch_answer().status, 0);
+}
+
+Test(forward_hand_on, request_is_handed_on_once_only) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.paths.is_lost = true;
+    it.helper.paths.helpers = it.paths.helpers; // the helper would hand it on to itself
+    cr_assert_eq(it.fetch_answer().status, 503);
+    cr_assert_eq(it.helper.paths.helped, 0);
+    cr_assert(it.helper.paths.refused.empty());
+}
+
+Test(forward_hand_on, remaining_time_goes_with_the_request) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.first.script = {};
+    it.helper.second.script = {};
+    auto began = it.loop.now();
+    auto answer = it.fetch_answer({{"id", "q1"}, {"deadline", "300"}});
+    cr_assert_eq(answer.status, 504);
+    cr_assert_lt(it.loop.now() - began, std::chrono::milliseconds(600));
+}
+
+Test(forward_hand_on, workspace_is_charged_at_one_instance_only) {
+    auto route = forward_fixture::route(execution_rule::once, 2);
+    route.allows_no_key = false;
+    helped_fixture it(route);
+    it.helper.first.script = {{whole}};
+    it.helper.second.script = {{whole}};
+    cr_assert_eq(it.fetch_answer({{"id", "q1"}, {"key", "good"}}).status, 200);
+    cr_assert_eq(it.fetch_answer({{"id", "q2"}, {"key", "bad"}}).status, 401);
+}
+
+Test(forward_hand_on, open_connection_is_used_while_only_new_ones_fail) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.paths.is_lost = false;
+    for (auto* server : {&it.first, &it.second, &it.helper.first, &it.helper.second})
+        server->script.assign(5, {whole});
+    for (int i = 0; i < 3; ++i)
+        cr_assert_eq(it.fetch_answer({{"id", "q" + std::to_string(i)}}).status, 200);
+    auto own = [&] { return it.first.requests.size() + it.second.requests.size(); };
+    cr_assert_eq(own(), 3U);
+    it.paths.is_lost = true;
+    it.paths.open_work = true;
+    cr_assert_eq(it.fetch_answer({{"id", "q4"}}).status, 200);
+    cr_assert_eq(it.fetch_answer({{"id", "q5"}}).status, 200);
+    cr_assert_gt(own(), 3U);
+}
--- a/test/part_service_test.cpp
+++ b/test/part_service_test.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "test/empty_store.h"
+#include "test/scripted_path.h"
 
 using namespace azureyoke;
 using verdict = coordination::part_assessment::verdict;
@@ -27,6 +28,7 @@
     app::metrics measures;
     empty_store store;
     app::peer_directory peers;
+    scripted_path paths;
     app::part_service parts;
     std::unique_ptr<transport::timer> ticks;
 
@@ -36,7 +38,7 @@
               loop, settings, store, log, [this](auto) { return report(); },
               [this](const auto& it) { parts.on_peer(it.instance, it.incarnation); },
               [this](std::string_view bytes) { return parts.on_datagram(bytes); }),
-          parts(loop, settings, peers, log, log_limiter, measures),
+          parts(loop, settings, peers, log, log_limiter, measures, paths),
           ticks(loop.every(20 * ms, [this] { parts.tick(); })) {
         cr_assert(peers.start().has_value());
     }
--- a/test/run_watch_service_test.cpp
+++ b/test/run_watch_service_test.cpp
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include "test/scripted_path.h"
+
 #include "azureyoke/src/app/run_watch_service.h"
 
 using namespace azureyoke;
@@ -43,7 +45,8 @@
     app::event_log log{"test"};
     app::log_rate_limiter log_limiter{0};
     app::metrics measures;
-    app::run_watch_service service{loop, client, log, log_limiter, measures};
+    scripted_path paths;
+    app::run_watch_service service{loop, client, log, log_limiter, measures, paths};
     std::set<std::string> ended;
 
     std::unique_ptr<app::run_watcher::watch> await_end(const std::string& server,
@@ -152,3 +155,16 @@
     it.wait(milliseconds(500));
     cr_assert(it.ended.empty());
 }
+
+// A server that others reach may work on.
+Test(run_watch_service, unreachable_server_is_waited_for_while_the_own_path_is_lost) {
+    watch_fixture it;
+    it.paths.is_lost = true;
+    it.client.lists["a"].from = app::run_list::source::unreachable;
+    auto watch = it.await_end("a", "q1");
+    it.wait(milliseconds(1500));
+    cr_assert(it.ended.empty());
+    it.paths.is_lost = false;
+    it.wait(milliseconds(2500));
+    cr_assert_eq(it.ended.size(), 1U);
+}
