--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -100,7 +100,7 @@
               exchange->reply({ready() ? 200 : 503, {}, ready() ? "ready\n" : "not ready\n"});
           }),
       pages_({settings_, loop_, metrics_, history_, state_, peers_, policies_, permits_, parts_,
-              weights_, [this] { return ready(); }, [this] { return draining_; },
+              weights_, paths_, [this] { return ready(); }, [this] { return draining_; },
               [this] { return registry_reachable_; }, [this] { return registry_era_; },
               [this] { return operators_.busy_connections(); }}),
       operators_(loop, internal::limits_of(descriptors_.other_servers),
--- a/azureyoke/src/app/forward_pages.cpp
+++ b/azureyoke/src/app/forward_pages.cpp
@@ -86,6 +86,7 @@
     page["newer_policy_exists"] = state.newer_policy_exists;
     page["registry_reachable"] = sources_.registry_reachable();
     page["registry_era"] = sources_.registry_era();
+    page["reaches_servers"] = !sources_.paths.lost();
     page["instances"] = sources_.peers.live(now);
     page["holds_weights_lease"] = sources_.weights.holds_lease();
     auto holder = sources_.peers.lease_holder(now);
--- a/azureyoke/src/app/forward_pages.h
+++ b/azureyoke/src/app/forward_pages.h
@@ -26,6 +26,7 @@
     permit_service& permits;
     const part_service& parts;
     const weights_service& weights;
+    const server_path& paths;
     std::function<bool()> ready;
     std::function<bool()> draining;
     std::function<bool()> registry_reachable;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -237,13 +237,11 @@
         pass_over_choice("server may have another software version now");
         return;
     }
-    if (services_.paths.lost() && !services_.backends.has_idle(*address) && may_hand_on()) {
-        choice_.reset();
+    if (services_.paths.lost() && !services_.backends.has_idle(*address)) {
+        auto choice = std::exchange(choice_, std::nullopt);
         if (hand_on())
             return;
-        refuse(503, "no backend server can be connected to",
-               bounded_retry_after(retry_after_no_server_s));
-        return;
+        choice_ = choice; // nobody helps, and the server may be reached all the same
     }
     const auto& original = exchange_->request();
     transport::http_request request{original.method, original.target,
--- a/azureyoke/src/app/path_service.cpp
+++ b/azureyoke/src/app/path_service.cpp
@@ -67,7 +67,7 @@
 
 void path_service::on_unreachable(const std::string& server) {
     auto now = loop_.now();
-    if (watch_.on_unreachable(server, state_.directory.all().size(), now))
+    if (watch_.on_unreachable(server, targets({}).size(), now))
         log_.warn(
             event_id::servers_unreachable,
             {{"last", server}, {"open_connections_work", open_connections_work() ? "yes" : "no"}});
@@ -77,7 +77,7 @@
     std::vector<target> list;
     for (const auto& [id, it] : state_.directory.all()) {
         auto address = transport::parse_address(it.address);
-        if (id != except && address)
+        if (id != except && !it.leaving && address)
             list.push_back({id, *address});
     }
     std::shuffle(list.begin(), list.end(), random_);
