--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "azureyoke/src/app/forward_limits.h"
 #include "azureyoke/src/app/wall_clock.h"
 
 namespace azureyoke::app {
@@ -25,27 +26,6 @@
     return static_cast<std::uint64_t>(wall_clock_ms());
 }
 
-transport::front_limits limits_of(std::size_t max_connections) {
-    transport::front_limits result;
-    result.max_connections = max_connections;
-    return result;
-}
-
-transport::front_limits limits_of(const state::caller_bounds& bounds, std::size_t max_connections) {
-    auto result = limits_of(max_connections);
-    result.max_head_bytes = static_cast<std::size_t>(bounds.max_head_bytes);
-    result.max_body_bytes = static_cast<std::size_t>(bounds.max_body_bytes);
-    result.head_timeout = std::chrono::milliseconds(bounds.head_timeout_ms);
-    result.idle_timeout = std::chrono::milliseconds(bounds.idle_timeout_ms);
-    return result;
-}
-
-transport::backend_pool_limits backend_limits(std::size_t max_connections) {
-    transport::backend_pool_limits result;
-    result.max_kept_connections = max_connections;
-    return result;
-}
-
 } // namespace
 } // namespace internal
 
