--- a/azureyoke/src/app/forward_end.cpp
+++ b/azureyoke/src/app/forward_end.cpp
@@ -2,6 +2,7 @@
 // forward_session.cpp.
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "azureyoke/src/app/forward_rules.h"
 #include "azureyoke/src/app/forward_session.h"
@@ -115,6 +116,8 @@
     finished_ = true;
     add_step(detail);
     end_help();
+    if (std::exchange(helps_, false))
+        --services_.helped;
     services_.history.add({request_info_.request_id, workspace_ == nullptr ? "" : workspace_->name,
                            route_ == nullptr ? "" : route_->name, std::move(steps_)});
     deadline_timer_.reset();
--- a/azureyoke/src/app/forward_hand_on.cpp
+++ b/azureyoke/src/app/forward_hand_on.cpp
@@ -21,8 +21,10 @@
         if (!report.request_id.empty() && report.request_id != it.request_info_.request_id)
             return answer_verdict::skip;
         refused_ = transport::find_field(head.fields, refused_help_field).has_value();
-        if (!refused_)
+        if (!refused_) {
+            it.services_.paths.on_help_served(helper_);
             it.start_answer(head);
+        }
         return answer_verdict::accept;
     }
 
@@ -67,6 +69,20 @@
            remaining_ms() > min_send_time_ms;
 }
 
+bool forward_session::may_help() {
+    if (services_.paths.lost()) {
+        refuse(503, "this instance reaches no backend server itself", min_retry_after_s);
+        return false;
+    }
+    if (services_.helped >= services_.max_helped) {
+        refuse(503, "this instance helps as many others as it can", min_retry_after_s);
+        return false;
+    }
+    helps_ = true;
+    ++services_.helped;
+    return true;
+}
+
 bool forward_session::hand_on() {
     if (!may_hand_on())
         return false;
--- a/azureyoke/src/app/forward_instance.cpp
+++ b/azureyoke/src/app/forward_instance.cpp
@@ -113,6 +113,9 @@
 }
 
 void forward_instance::start() {
+    // Connections that are idle for a moment count too, so that fewer requests than connections
+    // fit.
+    services_.max_helped = descriptors_.helped * 3 / 4;
     auto listen = [](transport::front_server& server, const transport::address& at) {
         return [&server, at] { return server.listen(at).map([](const auto& /*bound*/) {}); };
     };
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -41,10 +41,8 @@
     });
     deadline_timer_ =
         services_.loop.after(deadline_ - services_.loop.now(), [this] { on_deadline(); });
-    if (origin_ == request_origin::instance && services_.paths.lost()) {
-        refuse(503, "this instance reaches no backend server itself", min_retry_after_s);
+    if (origin_ == request_origin::instance && !may_help())
         return;
-    }
     if (origin_ == request_origin::caller)
         services_.state.retry_budget(pool_).on_request(services_.loop.now());
     bool cut_off = services_.paths.lost() && !services_.paths.open_connections_work();
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -49,6 +49,8 @@
     void on_instance_ending();
     bool admit();
     bool may_hand_on() const;
+    /// Whether a request of another instance may be served here. Otherwise it was refused.
+    bool may_help();
     /// Hands the request on to an instance that may reach servers. \returns whether there is one.
     bool hand_on();
     void end_help();
@@ -155,6 +157,7 @@
     request_origin origin_;
     std::string helper_; ///< The instance that has the request now, if any.
     int help_refusals_ = 0;
+    bool helps_ = false; ///< Counts in `forward_services::helped`.
     request_info request_info_;
     std::shared_ptr<const state::traffic_policy> policy_;
     const state::forward_route* route_ = nullptr;
--- a/azureyoke/src/app/forward_state.h
+++ b/azureyoke/src/app/forward_state.h
@@ -85,6 +85,8 @@
     server_path& paths;
     transport::byte_budget& answer_bytes; ///< Held by all sessions.
     bool refuse_all = false;              ///< The instance is about to exit.
+    std::size_t max_helped = 64;          ///< Requests of other instances that may be under way.
+    std::size_t helped = 0;               ///< Requests of other instances that are under way.
 };
 
 } // namespace azureyoke::app
--- a/azureyoke/src/app/path_service.cpp
+++ b/azureyoke/src/app/path_service.cpp
@@ -10,6 +10,8 @@
 namespace internal {
 namespace {
 
+/// The list of peers that may help is made anew after this time.
+constexpr transport::duration candidates_period = std::chrono::milliseconds(250);
 constexpr transport::duration probe_timeout = std::chrono::milliseconds(300);
 /// Servers that are tried before the path counts as lost in a check.
 constexpr std::size_t max_checked_servers = 4;
@@ -34,10 +36,8 @@
         return;
     watch_.on_probe(now);
     // Two servers tell a lost path from a server that is down.
-    std::size_t count = watch_.lost() ? 1 : 2;
-    auto list = targets({});
-    for (std::size_t i = 0; i < std::min(count, list.size()); ++i)
-        probe(list[i], nullptr);
+    for (const auto& it : targets(watch_.lost() ? 1 : 2, {}))
+        probe(it, nullptr);
 }
 
 void path_service::on_sent() {
@@ -67,20 +67,26 @@
 
 void path_service::on_unreachable(const std::string& server) {
     auto now = loop_.now();
-    if (watch_.on_unreachable(server, targets({}).size(), now))
+    if (watch_.on_unreachable(server, state_.directory.all().size(), now))
         log_.warn(
             event_id::servers_unreachable,
             {{"last", server}, {"open_connections_work", open_connections_work() ? "yes" : "no"}});
 }
 
-std::vector<path_service::target> path_service::targets(const std::string& except) {
+std::vector<path_service::target> path_service::targets(std::size_t count,
+                                                        const std::string& except) {
     std::vector<target> list;
-    for (const auto& [id, it] : state_.directory.all()) {
-        auto address = transport::parse_address(it.address);
-        if (id != except && !it.leaving && address)
-            list.push_back({id, *address});
+    const auto& servers = state_.directory.all();
+    if (servers.empty())
+        return list;
+    auto it = std::next(servers.begin(), static_cast<std::ptrdiff_t>(random_() % servers.size()));
+    for (std::size_t i = 0; i < servers.size() && list.size() < count; ++i) {
+        auto address = transport::parse_address(it->second.address);
+        if (it->first != except && !it->second.leaving && address)
+            list.push_back({it->first, *address});
+        if (++it == servers.end())
+            it = servers.begin();
     }
-    std::shuffle(list.begin(), list.end(), random_);
     return list;
 }
 
@@ -109,9 +115,7 @@
 }
 
 void path_service::check(const std::string& server, std::function<void(bool reached)> done) {
-    auto list = targets(server);
-    if (list.size() > internal::max_checked_servers)
-        list.resize(internal::max_checked_servers);
+    auto list = targets(internal::max_checked_servers, server);
     if (list.empty())
         done(true); // no other server could tell
     else
@@ -131,12 +135,16 @@
 
 std::optional<request_helper> path_service::choose_helper() {
     auto now = loop_.now();
-    std::vector<coordination::helper_candidate> candidates;
-    for (const auto& name : peers_.live(now)) {
-        if (name != settings_.instance)
-            candidates.push_back({name, peers_.data_centre_of(name) == settings_.data_centre});
+    if (now >= next_candidates_) {
+        next_candidates_ = now + internal::candidates_period;
+        std::vector<coordination::helper_candidate> candidates;
+        for (const auto& name : peers_.live(now)) {
+            if (name != settings_.instance)
+                candidates.push_back({name, peers_.data_centre_of(name) == settings_.data_centre});
+        }
+        helpers_.set_candidates(std::move(candidates));
     }
-    auto chosen = helpers_.choose(candidates, now);
+    auto chosen = helpers_.choose(now);
     auto address = chosen ? peers_.address_of(*chosen) : std::nullopt;
     return address ? std::optional(request_helper{*chosen, *address}) : std::nullopt;
 }
--- a/azureyoke/src/app/path_service.h
+++ b/azureyoke/src/app/path_service.h
@@ -47,6 +47,8 @@
 
     void on_help_ended(const std::string& helper) override { helpers_.on_ended(helper); }
 
+    void on_help_served(const std::string& helper) override { helpers_.on_served(helper); }
+
     void on_help_refused(const std::string& helper) override;
 
 private:
@@ -55,8 +57,8 @@
         transport::address address;
     };
 
-    /// \returns all servers but `except`, in random order.
-    std::vector<target> targets(const std::string& except);
+    /// \returns up to `count` servers other than `except`, from a random one on.
+    std::vector<target> targets(std::size_t count, const std::string& except);
     /// Opens a connection and closes it again. `done` may be null.
     void probe(const target& to, std::function<void(bool reached)> done);
     void on_probed(const std::string& server, bool reached);
@@ -74,7 +76,8 @@
     coordination::helper_choice helpers_;
     std::minstd_rand random_;
     std::list<std::unique_ptr<transport::connect_probe>> probes_;
-    std::size_t waiting_ = 0;    ///< Requests that were sent to servers and have not ended.
+    std::size_t waiting_ = 0; ///< Requests that were sent to servers and have not ended.
+    transport::instant next_candidates_;
     std::int64_t handed_on_ = 0; ///< Requests since the path was lost.
 };
 
--- a/azureyoke/src/app/server_path.h
+++ b/azureyoke/src/app/server_path.h
@@ -40,6 +40,8 @@
     virtual void on_handed_on(const std::string& helper) = 0;
     /// \brief A request that was handed on has ended.
     virtual void on_help_ended(const std::string& helper) = 0;
+    /// \brief The helper began to answer a request.
+    virtual void on_help_served(const std::string& helper) = 0;
     /// \brief The helper did not run a request.
     virtual void on_help_refused(const std::string& helper) = 0;
 };
--- a/test/scripted_path.h
+++ b/test/scripted_path.h
@@ -40,6 +40,8 @@
 
     void on_help_ended(const std::string& /*helper*/) override { --helped; }
 
+    void on_help_served(const std::string& /*helper*/) override {}
+
     void on_help_refused(const std::string& helper) override {
         refused.push_back(helper);
         helpers.erase(helpers.begin());
