--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -43,7 +43,7 @@
                     (!success || (route_->rule != state::execution_rule::stream && small));
     if (buffered) {
         answer_mode_ = answer_mode::buffer;
-        buffered_ = {head.status, services_.dialect.answer_fields(head), {}};
+        buffered_ = {head.status, answer_fields(head), {}};
         return answer_verdict::accept;
     }
     if (exchange_->started() && !success)
@@ -89,6 +89,14 @@
                              {"left_out", std::to_string(left_out)}});
 }
 
+transport::http_fields forward_session::answer_fields(const transport::http_head& head) const {
+    auto fields = services_.dialect.answer_fields(head);
+    // Only a helper itself may say that it did not run a request.
+    std::erase_if(
+        fields, [](const auto& it) { return transport::equal_names(it.name, refused_help_field); });
+    return fields;
+}
+
 void forward_session::start_answer(const transport::http_head& head) {
     // A stream that may continue at another server has no known length.
     std::optional<std::uint64_t> length;
@@ -96,7 +104,7 @@
                         head.framing == transport::http_framing::none;
     if (whole_length && route_->rule != state::execution_rule::stream)
         length = head.length;
-    exchange_->start(head.status, services_.dialect.answer_fields(head), length);
+    exchange_->start(head.status, answer_fields(head), length);
 }
 
 void forward_session::record_first_answer() {
--- a/azureyoke/src/app/forward_hand_on.cpp
+++ b/azureyoke/src/app/forward_hand_on.cpp
@@ -63,6 +63,10 @@
     bool refused_ = false;
 };
 
+bool forward_session::cut_off() const {
+    return services_.paths.lost() && !services_.paths.open_connections_work();
+}
+
 bool forward_session::may_hand_on() const {
     return origin_ == request_origin::caller && possible_runs_ == 0 && !exchange_->started() &&
            help_refusals_ < max_help_refusals && trial_part_.empty() &&
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -45,8 +45,7 @@
         return;
     if (origin_ == request_origin::caller)
         services_.state.retry_budget(pool_).on_request(services_.loop.now());
-    bool cut_off = services_.paths.lost() && !services_.paths.open_connections_work();
-    if (cut_off && hand_on())
+    if (cut_off() && hand_on())
         return;
     if (takes_up_stream())
         find_stream();
@@ -75,8 +74,7 @@
         refuse(may_have_run_ ? 502 : 401, "the key was withdrawn");
         return;
     }
-    bool cut_off = services_.paths.lost() && !services_.paths.open_connections_work();
-    if (cut_off && hand_on())
+    if (cut_off() && hand_on())
         return;
     if (!pass_part_guard())
         return;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -48,6 +48,8 @@
 
     void on_instance_ending();
     bool admit();
+    /// Whether neither new connections to servers nor those that are open work.
+    bool cut_off() const;
     bool may_hand_on() const;
     /// Whether a request of another instance may be served here. Otherwise it was refused.
     bool may_help();
@@ -108,6 +110,9 @@
     bool is_doubtful_refusal(const transport::http_head& head, const answer_info& report) const;
     /// Applies the server state that the answer's head reports, however the answer is handled.
     void update_server_state(const answer_info& report);
+    /// \returns the fields of a server's answer that go to the caller, or to the instance that
+    /// handed the request on.
+    transport::http_fields answer_fields(const transport::http_head& head) const;
     void start_answer(const transport::http_head& head);
     void record_first_answer();
     void write_to_caller(std::string_view bytes);
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "azureyoke/src/app/forward_rules.h"
 #include "azureyoke/src/app/forward_session.h"
 #include "azureyoke/src/transport/backend_fetch.h"
 #include "test/scripted_guard.h"
@@ -73,7 +74,7 @@
     transport::http_fields answer_fields(const transport::http_head& head) const override {
         transport::http_fields result;
         for (const auto& it : head.fields) {
-            if (it.name == "id" || it.name == "stamp")
+            if (it.name == "id" || it.name == "stamp" || it.name == app::refused_help_field)
                 result.push_back(it);
         }
         return result;
--- a/test/forward_hand_on_test.cpp
+++ b/test/forward_hand_on_test.cpp
@@ -200,3 +200,14 @@
     cr_assert_eq(it.fetch_answer().status, 200); // by this instance, since nobody is left
     cr_assert_eq(it.paths.refused.size(), 1U);
 }
+
+Test(forward_hand_on, server_that_writes_the_helpers_refusal_hides_no_run) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.helper.script({"HTTP/1.1 500 Error\r\nid: ID\r\nstamp: s\r\nAzureyoke-Not-Run: 1\r\n"
+                      "Content-Length: 0\r\n\r\n"});
+    it.script({whole});
+    auto answer = it.fetch_answer();
+    cr_assert_eq(answer.status, 500);
+    cr_assert_eq(it.requests_received(), 0U);
+    cr_assert_eq(it.helper.requests_received(), 1U);
+}
