connection_shortage: a type is met before descriptors run out

Sanitized, the test without descriptors reported objects of wrong types: the sanitizer's check opens a pipe when it meets a type for the first time, and cannot.

--- a/test/connection_shortage_test.cpp
+++ b/test/connection_shortage_test.cpp
@@ -134,21 +134,27 @@
 
 Test(connection_shortage, server_without_descriptors_rests_and_accepts_when_there_are_some) {
     crowded_fixture it;
+    // A request before, since the sanitizers need descriptors when they meet a type for the first
+    // time.
+    it.send();
+    it.wait_for_answers(1);
+    it.callers.clear();
+    it.rest(std::chrono::milliseconds(150));
     rlimit limit{64, 64};
     cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
     auto opened = use_up_descriptors(1); // for the caller's side of the connection
     it.send();
     auto before = processor_seconds();
     it.rest(std::chrono::milliseconds(600));
-    cr_assert(it.answers.empty());
+    cr_assert_eq(it.answers.size(), 1U);
     cr_assert(!it.shortages.empty());
     cr_assert(it.shortages.back() == transport::connection_shortage::no_descriptor);
     cr_assert_lt(processor_seconds() - before, 0.3);
     for (int fd : opened)
         close(fd);
-    it.wait_for_answers(1);
-    cr_assert_eq(it.answers.size(), 1U);
-    cr_assert(it.answers[0] && it.answers[0]->status == 200);
+    it.wait_for_answers(2);
+    cr_assert_eq(it.answers.size(), 2U);
+    cr_assert(it.answers[1] && it.answers[1]->status == 200);
 }
 
 Test(connection_shortage, idle_connection_gives_way_when_the_process_is_out_of_descriptors) {
