--- a/azureyoke/src/app/forward_hand_on.cpp
+++ b/azureyoke/src/app/forward_hand_on.cpp
@@ -130,7 +130,10 @@
     ++help_refusals_;
     services_.paths.on_help_refused(helper);
     add_step(helper + " did not run it: " + why);
-    dispatch();
+    if (takes_up_stream())
+        find_stream();
+    else
+        dispatch();
 }
 
 void forward_session::on_help_lost(const std::string& helper, const transport::error& ec) {
--- a/test/forward_hand_on_test.cpp
+++ b/test/forward_hand_on_test.cpp
@@ -211,3 +211,16 @@
     cr_assert_eq(it.requests_received(), 0U);
     cr_assert_eq(it.helper.requests_received(), 1U);
 }
+
+// Without the question the stream would be bound to no software version, and go on nowhere.
+Test(forward_hand_on, stream_that_no_helper_takes_up_is_looked_for_here) {
+    auto route = forward_fixture::route(execution_rule::stream, 2);
+    route.resumable = true;
+    helped_fixture it(route);
+    it.helper.paths.is_lost = true;
+    it.script(
+        {"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nContent-Length: 16\r\n\r\nid: 2\ndata: two\n"});
+    (void)it.fetch_answer({{"id", "q2"}, {"last", "1"}, {"resumes", "q1"}});
+    cr_assert_eq(it.paths.refused.size(), 1U);
+    cr_assert_eq(it.streams.asked.size(), 1U);
+}
