What a connection has refused belongs to the connection: a copy of a refusal hides no run

Callers saw requests that ran after their refusal, or ran twice.

Now a connection remembers the ids of the calls that it answered without success, 64 at most, and the pool gives a call no connection on which its id failed. A connection that can remember no more is closed. An answer that is broken though its status is a success closes its connection.

A second try takes any other connection where it always took a new one, so that fewer are opened.

azureyoke_repeated_ids_total counts sends of an id that has failed on an idle connection to the address, by whether the same request was sent before.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -242,6 +242,7 @@
         return;
     case answer_mode::pass_through:
         if (ended_within_event()) {
+            call_->retire_connection();
             on_failure(
                 {transport::errc::connection_lost, "the stream ended within an event", true, true});
             return;
--- a/azureyoke/src/app/forward_hand_on.cpp
+++ b/azureyoke/src/app/forward_hand_on.cpp
@@ -103,7 +103,8 @@
     ++sends_;
     helper_ = helper->name;
     services_.paths.on_handed_on(helper_);
-    call_ = services_.backends.send(helper->address, request, help_refusals_ == 0,
+    call_ = services_.backends.send(helper->address, request,
+                                    transport::answer_match::by_id(request_info_.request_id),
                                     std::make_shared<helped_answer>(shared_from_this(), helper_));
     return true;
 }
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -160,7 +160,8 @@
         pass_over_choice("server may have another software version now");
         return;
     }
-    if (services_.paths.lost() && !services_.backends.has_idle(*address)) {
+    auto match = transport::answer_match::by_id(request_info_.request_id);
+    if (services_.paths.lost() && !services_.backends.has_idle(*address, match)) {
         auto choice = std::exchange(choice_, std::nullopt);
         if (hand_on())
             return;
@@ -197,11 +198,10 @@
     services_.paths.on_sent();
     if (services_.state.server_limits.limit_of(last_server_))
         services_.measures.count("azureyoke_limited_sends_total", "backend_server", last_server_);
-    // A second refusal of the first try, with the same id, may lie on a connection that is kept.
-    bool first_try = std::find(tried_servers_.begin(), tried_servers_.end(), last_server_) ==
-                     tried_servers_.end();
-    tried_servers_.push_back(last_server_);
-    call_ = services_.backends.send(*address, request, first_try, shared_from_this());
+    if (services_.backends.has_failed(*address, request_info_.request_id))
+        services_.measures.count("azureyoke_repeated_ids_total", "sender",
+                                 sends_ > 1 ? "same_request" : "another_request");
+    call_ = services_.backends.send(*address, request, match, shared_from_this());
     last_event_at_ = sent_at_;
     if (route_->rule == state::execution_rule::stream)
         check_event_gap();
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -184,9 +184,8 @@
     coordination::event_relay relay_;
     transport::byte_account held_bytes_;
     std::string last_server_;
-    std::string last_address_;               ///< Of `last_server_` when the request was sent.
-    std::vector<std::string> tried_servers_; ///< To which this request was sent.
-    std::string last_software_;              ///< Software version of the last server used.
+    std::string last_address_;    ///< Of `last_server_` when the request was sent.
+    std::string last_software_;   ///< Software version of the last server used.
     std::string stream_software_; ///< Software version that the stream began on; empty: unknown.
     std::string bound_stream_;    ///< Id of the request that got the stream's first event.
     std::int64_t last_started_ms_ = 0;      ///< Start of the run of the last server used.
--- a/azureyoke/src/transport/backend_fetch.cpp
+++ b/azureyoke/src/transport/backend_fetch.cpp
@@ -16,9 +16,10 @@
         : loop_(loop), head_timeout_(head), progress_(progress), max_bytes_(max_bytes),
           on_head_(std::move(on_head)), done_(std::move(done)) {}
 
-    void start(backend_pool& pool, const address& to, const http_request& request) {
+    void start(backend_pool& pool, const address& to, const http_request& request,
+               const answer_match& match) {
         timer_ = loop_.after(head_timeout_, [this] { fail_in_time("no complete answer in time"); });
-        call_ = pool.send(to, request, true, shared_from_this());
+        call_ = pool.send(to, request, match, shared_from_this());
     }
 
     answer_verdict on_head(const http_head& head) override {
@@ -95,11 +96,11 @@
 } // namespace internal
 
 void fetch(event_loop& loop, backend_pool& pool, const address& to, const http_request& request,
-           duration timeout, std::function<void(result<http_response>)> done,
-           std::size_t max_bytes) {
+           duration timeout, std::function<void(result<http_response>)> done, std::size_t max_bytes,
+           const answer_match& match) {
     auto sink = std::make_shared<internal::fetch_sink>(loop, timeout, std::nullopt, max_bytes,
                                                        nullptr, std::move(done));
-    sink->start(pool, to, request);
+    sink->start(pool, to, request, match);
 }
 
 std::shared_ptr<fetch_call> fetch(event_loop& loop, backend_pool& pool, const address& to,
@@ -108,7 +109,7 @@
                                   std::function<void(result<http_response>)> done) {
     auto sink = std::make_shared<internal::fetch_sink>(loop, limits.head, limits, max_fetched_bytes,
                                                        std::move(on_head), std::move(done));
-    sink->start(pool, to, request);
+    sink->start(pool, to, request, {});
     return sink;
 }
 
--- a/azureyoke/src/transport/backend_fetch.h
+++ b/azureyoke/src/transport/backend_fetch.h
@@ -27,12 +27,13 @@
 constexpr std::size_t min_progress_bytes = 4 * 1024;
 
 /// \brief Sends a request and collects the complete answer. Fails after `timeout`, or when the
-/// body exceeds `max_bytes`.
+/// body exceeds `max_bytes`. An id in `match` only selects the connection: the answer's own is not
+/// read.
 ///
 /// `done` is called exactly once, from the event loop. Not thread safe.
 void fetch(event_loop& loop, backend_pool& pool, const address& to, const http_request& request,
            duration timeout, std::function<void(result<http_response>)> done,
-           std::size_t max_bytes = max_fetched_bytes);
+           std::size_t max_bytes = max_fetched_bytes, const answer_match& match = {});
 
 /// \brief A fetch under way.
 class fetch_call {
--- a/azureyoke/src/transport/backend_pool.cpp
+++ b/azureyoke/src/transport/backend_pool.cpp
@@ -64,8 +64,9 @@
 
     /// \brief Sends a request.
     /// \returns the call's number on this connection, which identifies it in later operations.
-    int start(const http_request& request, std::shared_ptr<backend_answer_sink> sink,
-              duration connect_timeout) {
+    int start(const http_request& request, const answer_match& match,
+              std::shared_ptr<backend_answer_sink> sink, duration connect_timeout) {
+        match_ = match;
         sink_ = std::move(sink);
         skipped_answers_ = 0;
         skipped_bytes_ = 0;
@@ -91,6 +92,11 @@
             close_without_report();
     }
 
+    void retire(int call) {
+        if (call == last_call_number_)
+            close();
+    }
+
     /// Cancels the current call without notifying its sink.
     void close_without_report() {
         auto guard = shared_from_this();
@@ -107,6 +113,13 @@
 
     bool within_idle_limit(instant now) const { return now - idle_since_ < idle_limit_; }
 
+    bool has_failed(const std::string& id) const { return failed_calls_.contains(id); }
+
+    bool may_carry(const answer_match& match) const {
+        return match.by == answer_match::rule::order ||
+               (match.by == answer_match::rule::id && !has_failed(match.id));
+    }
+
     void close() {
         if (closed_)
             return;
@@ -183,6 +196,7 @@
         reusable_ = head.keep_alive && head.framing != http_framing::until_close;
         if (auto limit = internal::announced_idle_timeout(head.fields))
             idle_limit_ = std::min(idle_limit_, *limit - internal::keep_alive_margin);
+        success_ = head.status < 300;
         auto sink = sink_;
         verdict_ = sink->on_head(head);
         if (verdict_ == answer_verdict::skip && ++skipped_answers_ > internal::max_skipped_answers)
@@ -219,7 +233,10 @@
         // A server that answers before it has read the whole request may never read the rest,
         // so such a connection is not reused.
         bool request_sent = stream_.unwritten() == 0;
-        if (*pool_ != nullptr && reusable_ && request_sent && !more_bytes) {
+        if (!success_ && match_.by == answer_match::rule::id)
+            failed_calls_.insert(match_.id);
+        bool may_carry_more = match_.by != answer_match::rule::connection && !failed_calls_.full();
+        if (*pool_ != nullptr && reusable_ && may_carry_more && request_sent && !more_bytes) {
             idle_since_ = loop_.now();
             (*pool_)->add_idle(shared_from_this());
         } else {
@@ -245,6 +262,8 @@
     http_reader reader_;
     tcp_stream stream_;
     std::shared_ptr<backend_answer_sink> sink_;
+    answer_match match_; ///< Of the current or last call.
+    failed_calls failed_calls_;
     std::optional<answer_verdict> verdict_;
     std::unique_ptr<timer> connect_timer_;
     instant idle_since_;
@@ -253,6 +272,7 @@
     int interim_answers_ = 0;
     int last_call_number_ = 0;
     bool reusable_ = false;
+    bool success_ = false; ///< The current answer has a status 2xx.
     bool answer_complete_ = false;
     bool closed_ = false;
 };
@@ -268,6 +288,10 @@
     connection_->pause(number_, paused);
 }
 
+void backend_call::retire_connection() {
+    connection_->retire(number_);
+}
+
 backend_pool::backend_pool(event_loop& loop, const backend_pool_limits& limits)
     : loop_(loop), limits_(limits), self_(std::make_shared<backend_pool*>(this)) {
     sweep_timer_ = loop_.every(internal::sweep_period, [this] { close_expired(); });
@@ -283,37 +307,37 @@
     }
 }
 
-std::shared_ptr<backend_connection> backend_pool::acquire(const address& to, bool reuse) {
-    // Closing a connection removes it from its list, and the list from the map when empty.
-    for (auto found = idle_.find(to); reuse && found != idle_.end(); found = idle_.find(to)) {
-        auto it = found->second.back();
-        if (!it->within_idle_limit(loop_.now())) {
-            it->close();
-            continue;
-        }
-        found->second.pop_back();
-        --idle_connections_;
-        if (found->second.empty())
-            idle_.erase(found);
-        return it;
-    }
-    return std::make_shared<backend_connection>(*this, to);
+std::shared_ptr<backend_connection> backend_pool::find_idle(const address& to,
+                                                            const answer_match& match) const {
+    auto found = idle_.find(to);
+    if (found == idle_.end())
+        return nullptr;
+    const auto& list = found->second;
+    auto it = std::find_if(list.rbegin(), list.rend(), [&](const auto& connection) {
+        return connection->within_idle_limit(loop_.now()) && connection->may_carry(match);
+    });
+    return it == list.rend() ? nullptr : *it;
+}
+
+bool backend_pool::has_failed(const address& to, const std::string& id) const {
+    auto found = idle_.find(to);
+    return found != idle_.end() && std::any_of(found->second.begin(), found->second.end(),
+                                               [&](const auto& it) { return it->has_failed(id); });
 }
 
 std::unique_ptr<backend_call> backend_pool::send(const address& to, const http_request& request,
-                                                 bool reuse,
+                                                 const answer_match& match,
                                                  std::shared_ptr<backend_answer_sink> sink) {
-    auto connection = acquire(to, reuse);
+    auto connection = find_idle(to, match);
+    if (connection != nullptr)
+        remove_idle(*connection);
+    else
+        connection = std::make_shared<backend_connection>(*this, to);
     busy_.insert(connection.get());
-    int number = connection->start(request, std::move(sink), limits_.connect_timeout);
+    int number = connection->start(request, match, std::move(sink), limits_.connect_timeout);
     return std::make_unique<backend_call>(std::move(connection), number);
 }
 
-bool backend_pool::has_idle(const address& to) const {
-    auto found = idle_.find(to);
-    return found != idle_.end() && found->second.back()->within_idle_limit(loop_.now());
-}
-
 void backend_pool::add_idle(const std::shared_ptr<backend_connection>& connection) {
     busy_.erase(connection.get());
     auto& list = idle_[connection->to()];
@@ -327,8 +351,7 @@
     ++idle_connections_;
 }
 
-void backend_pool::remove(backend_connection& connection) {
-    busy_.erase(&connection);
+void backend_pool::remove_idle(const backend_connection& connection) {
     auto found = idle_.find(connection.to());
     if (found == idle_.end())
         return;
@@ -338,6 +361,11 @@
         idle_.erase(found);
 }
 
+void backend_pool::remove(backend_connection& connection) {
+    busy_.erase(&connection);
+    remove_idle(connection);
+}
+
 void backend_pool::close_expired() {
     auto now = loop_.now();
     std::vector<std::shared_ptr<backend_connection>> expired;
--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "azureyoke/src/transport/failed_calls.h"
 #include "azureyoke/src/transport/http_reader.h"
 #include "azureyoke/src/transport/tcp_stream.h"
 
@@ -41,6 +42,25 @@
     friend bool operator==(const backend_pool_limits&, const backend_pool_limits&) = default;
 };
 
+/// \brief How a call's answer is told from answers to other calls. A faulty server may write an
+/// answer once more, where the answer to the next call is due.
+struct answer_match {
+    enum class rule {
+        order,     ///< The server writes each answer once: the next one belongs to the call.
+        id,        ///< The answer repeats the id of its call.
+        connection ///< The call has a connection of its own: each answer on it belongs to the call.
+    };
+
+    rule by = rule::order;
+    std::string id; ///< With `rule::id`.
+
+    static answer_match by_id(std::string id) { return {rule::id, std::move(id)}; }
+
+    static answer_match by_connection() { return {rule::connection, {}}; }
+
+    friend bool operator==(const answer_match&, const answer_match&) = default;
+};
+
 class backend_pool;
 class backend_connection;
 
@@ -58,6 +78,10 @@
     /// \brief Stops or resumes reading the answer, for backpressure.
     void pause(bool paused);
 
+    /// \brief Closes the connection after its answer, unless it carries a later call already. For
+    /// an answer that is of no use although its status is a success. \pre The call has ended.
+    void retire_connection();
+
     /// \returns whether the connection carried an earlier call, whose answer a faulty server may
     /// write once more.
     bool on_kept_connection() const { return number_ > 1; }
@@ -70,7 +94,8 @@
 /// \brief HTTP/1.1 client that reuses idle connections and streams answers.
 ///
 /// A connection carries one request at a time. A connection is closed when it failed, when
-/// unexpected bytes were read, or when its request was not fully sent. Not thread safe.
+/// unexpected bytes were read, when its request was not fully sent, or when it has answered too
+/// many calls without success to remember them. Not thread safe.
 class backend_pool {
 public:
     backend_pool(event_loop& loop, const backend_pool_limits& limits);
@@ -80,20 +105,31 @@
     backend_pool(backend_pool&&) = delete;
     backend_pool& operator=(backend_pool&&) = delete;
 
-    /// \brief Sends a request; `Content-Length` is added to its fields. When `reuse` is false, a
-    /// new connection is opened.
-    std::unique_ptr<backend_call> send(const address& to, const http_request& request, bool reuse,
+    /// \brief Sends a request; `Content-Length` is added to its fields. A call with an id uses no
+    /// connection that has answered a call with this id without success: a copy of that answer
+    /// could not be told from its own.
+    std::unique_ptr<backend_call> send(const address& to, const http_request& request,
+                                       const answer_match& match,
                                        std::shared_ptr<backend_answer_sink> sink);
 
     std::size_t idle_connections() const { return idle_connections_; }
 
-    /// \returns whether an idle connection to this address may be reused.
-    bool has_idle(const address& to) const;
+    /// \returns whether there is an idle connection to this address for such a call.
+    bool has_idle(const address& to, const answer_match& match) const {
+        return find_idle(to, match) != nullptr;
+    }
+
+    /// \returns whether an idle connection to this address has answered a call with this id without
+    /// success.
+    bool has_failed(const address& to, const std::string& id) const;
 
 private:
     friend class backend_connection;
-    std::shared_ptr<backend_connection> acquire(const address& to, bool reuse);
+    /// \returns the connection used last of those that such a call may use, or null.
+    std::shared_ptr<backend_connection> find_idle(const address& to,
+                                                  const answer_match& match) const;
     void add_idle(const std::shared_ptr<backend_connection>& connection);
+    void remove_idle(const backend_connection& connection);
     void remove(backend_connection& connection);
     void close_expired();
 
--- a/test/backend_pool_test.cpp
+++ b/test/backend_pool_test.cpp
@@ -22,6 +22,22 @@
             server.script.push_back({ok_answer});
     }
 
+    /// \brief Sends a request and waits for its answer. \returns the status.
+    int fetch(const transport::answer_match& match) {
+        int status = 0;
+        bool done = false;
+        transport::fetch(
+            loop, pool, server.at(), {"GET", "/", {}, {}}, std::chrono::seconds(20),
+            [&](const auto& answer) {
+                done = true;
+                status = answer ? answer->status : 0;
+            },
+            transport::max_fetched_bytes, match);
+        while (!done)
+            loop.run_once(true);
+        return status;
+    }
+
     /// \brief Sends `n` concurrent requests and waits until all have ended.
     /// \returns the number of complete answers.
     int fetch_concurrently(int n) {
@@ -102,3 +118,44 @@
         it.loop.run_once(true);
     cr_assert_eq(it.server.closes, 1);
 }
+
+// Guards against a copy of the answer that a call got without success, which the server may write
+// before its answer to a later call with the same id.
+Test(backend_pool, call_uses_no_connection_on_which_its_id_failed) {
+    using transport::answer_match;
+    for (int status : {400, 421, 429, 500, 503}) {
+        pool_fixture it;
+        it.server.script.push_front(
+            {"HTTP/1.1 " + std::to_string(status) + " S\r\nContent-Length: 0\r\n\r\n"});
+        cr_assert_eq(it.fetch(answer_match::by_id("q1")), status);
+        cr_assert(it.pool.has_failed(it.server.at(), "q1"));
+        cr_assert_not(it.pool.has_idle(it.server.at(), answer_match::by_id("q1")));
+        cr_assert_eq(it.fetch(answer_match::by_id("q2")), 200);
+        cr_assert_eq(it.server.connections(), 1U, "other ids use the connection");
+        cr_assert_eq(it.fetch(answer_match::by_id("q1")), 200);
+        cr_assert_eq(it.server.connections(), 2U);
+        cr_assert_eq(it.fetch(answer_match::by_id("q1")), 200);
+        cr_assert_eq(it.server.connections(), 2U, "the call succeeded on the second one");
+    }
+}
+
+Test(backend_pool, connection_is_closed_once_it_can_remember_no_more_failed_calls) {
+    pool_fixture it;
+    auto failures = transport::failed_calls::capacity;
+    it.server.script.assign(failures + 1, {"HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n"});
+    for (std::size_t i = 0; i < failures; ++i)
+        (void)it.fetch(transport::answer_match::by_id("q" + std::to_string(i)));
+    cr_assert_eq(it.server.connections(), 1U);
+    cr_assert_eq(it.pool.idle_connections(), 0U);
+    (void)it.fetch(transport::answer_match::by_id("q"));
+    cr_assert_eq(it.server.connections(), 2U);
+}
+
+Test(backend_pool, call_with_a_connection_of_its_own_shares_it_with_no_other) {
+    using transport::answer_match;
+    pool_fixture it;
+    cr_assert_eq(it.fetch({}), 200);
+    cr_assert_eq(it.fetch(answer_match::by_connection()), 200);
+    cr_assert_eq(it.server.connections(), 2U);
+    cr_assert_eq(it.pool.idle_connections(), 1U);
+}
--- a/test/forward_hand_on_test.cpp
+++ b/test/forward_hand_on_test.cpp
@@ -187,7 +187,7 @@
         std::string& out;
     };
 
-    auto call = it.callers.send(it.at, {"POST", "/r/x", {{"id", "q1"}}, "body"}, true,
+    auto call = it.callers.send(it.at, {"POST", "/r/x", {{"id", "q1"}}, "body"}, {},
                                 std::make_shared<stream_sink>(received));
     it.wait(std::chrono::milliseconds(200));
     cr_assert(received.starts_with("id: 1\ndata: one\n\n"), "%s", received.c_str());
--- a/test/forward_move_test.cpp
+++ b/test/forward_move_test.cpp
@@ -46,7 +46,7 @@
 
     std::shared_ptr<caller> send() {
         auto made = std::make_shared<caller>();
-        made->call = callers.send(at, {"POST", "/r/x", {{"id", "q1"}}, "body"}, true, made);
+        made->call = callers.send(at, {"POST", "/r/x", {{"id", "q1"}}, "body"}, {}, made);
         return made;
     }
 
--- a/test/forward_stream_test.cpp
+++ b/test/forward_stream_test.cpp
@@ -156,6 +156,18 @@
     }
 }
 
+// Guards against a copy of the broken answer that is taken for the continuation of the stream.
+Test(forward_stream, stream_that_ends_within_an_event_goes_on_over_another_connection) {
+    stream_fixture it;
+    it.state->directory.replace_all({}, it.loop.now());
+    it.add("a", it.first.at());
+    auto& server = it.first;
+    server.script.push_back({concat({head, first_event, "8\r\nid: 2\nda\r\n", last_chunk})});
+    server.script.push_back({concat({head, second_event, last_chunk})});
+    cr_assert_eq(it.fetch_answer().body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+    cr_assert_eq(server.connections(), 2U);
+}
+
 // Guards against an error of the next server in the middle of a stream.
 Test(forward_stream, stream_that_meets_an_error_elsewhere_does_not_look_complete) {
     for (const auto* error :
--- a/test/forward_stress_test.cpp
+++ b/test/forward_stress_test.cpp
@@ -49,7 +49,7 @@
     void begin(forward_fixture& fixture, bool disconnects) {
         call_ = fixture.callers.send(fixture.at,
                                      {"POST", "/r/x", {{"id", id_}, {"deadline", "150"}}, "body"},
-                                     true, shared_from_this());
+                                     {}, shared_from_this());
         if (disconnects)
             disconnect_timer_ = fixture.loop.after(std::chrono::milliseconds(5), [this] {
                 call_.reset();
