--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -118,6 +118,8 @@
 
     std::deque<answer> script;
     std::vector<transport::http_head> requests;
+    /// Each answer but the first on a connection follows a copy of the one before.
+    bool repeats_answers = false;
     int closes = 0; ///< Connections that the other side closed in good order.
     int resets = 0; ///< Connections that the other side reset.
 
@@ -147,6 +149,9 @@
             for (auto at = next.bytes.find("ID"); at != std::string::npos;
                  at = next.bytes.find("ID"))
                 next.bytes.replace(at, 2, id);
+            auto copy = std::exchange(last_answer, next.bytes);
+            if (owner.repeats_answers)
+                next.bytes.insert(0, copy);
             if (next.in_bytes) {
                 send_byte(next.bytes, 0);
                 return;
@@ -164,6 +169,7 @@
         }
 
         scripted_server& owner;
+        std::string last_answer;
         std::unique_ptr<transport::timer> byte_timer;
         transport::http_reader reader;
         std::unique_ptr<transport::tcp_stream> stream;
