--- a/azureyoke/src/app/peer_report.cpp
+++ b/azureyoke/src/app/peer_report.cpp
@@ -95,7 +95,8 @@
     try {
         // from_cbor throws on impossible sizes even with exceptions disabled.
         auto body = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-        if (!body.is_array() || body.size() != 16)
+        // A later build may append fields.
+        if (!body.is_array() || body.size() < 16)
             return std::nullopt;
         peer_report result;
         result.instance = body[0].get<std::string>();
--- a/test/peer_directory_test.cpp
+++ b/test/peer_directory_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 using namespace azureyoke;
 
@@ -181,3 +182,15 @@
     cr_assert_eq(messages.size(), 1U);
     cr_assert_eq(app::parse_peer_report(messages.front())->spent.at("w"), 7);
 }
+
+// Guards against an instance that hears nothing from peers which already run a later build.
+Test(peer_report, fields_that_a_later_build_appends_are_ignored) {
+    app::peer_report report;
+    report.instance = "a";
+    report.policy_version = 3;
+    auto body = nlohmann::json::from_cbor(app::to_bytes(report));
+    body.push_back("later");
+    std::string bytes;
+    nlohmann::json::to_cbor(body, bytes);
+    cr_assert(app::parse_peer_report(bytes) == report);
+}
