Only an answer shows that a server is reached: cuts that accept connections are noticed

Callers of an instance that is cut off were served nothing where the way to the servers accepts its connections and then resets them, or reads nothing: each request was written to a new connection and lost. An established connection counted as a server that is reached, in the instance's own sends, in its probes, and when it asked whether a crash is that of a server.

A probe now asks a server for its health (`healthPath` of its pool), over a connection of its own, and any answer counts. A new connection that ends before any answer counts as a server that was not reached. Nothing else in the decision changes.

--- a/azureyoke/src/app/forward_answer.cpp
+++ b/azureyoke/src/app/forward_answer.cpp
@@ -9,6 +9,7 @@
 using transport::answer_verdict;
 
 answer_verdict forward_session::on_head(const transport::http_head& head) {
+    head_seen_ = true;
     auto report = services_.dialect.read_answer(head);
     if (!report.request_id.empty() && report.request_id != request_info_.request_id)
         return answer_verdict::skip;
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -175,6 +175,7 @@
     ++possible_runs_;
     sent_at_ = services_.loop.now();
     versions_were_current_ = services_.streams.versions_are_current();
+    head_seen_ = false;
     first_answer_seen_ = false;
     reported_progress_ = {};
     success_ = false;
@@ -239,6 +240,12 @@
     retry_or_refuse("the server did not run it");
 }
 
+// Something on the way may accept connections in place of a server that is not reached.
+bool forward_session::ended_without_answer(const transport::error& ec) const {
+    return ec.code == transport::errc::connection_lost && ec.ended_by_peer && !head_seen_ &&
+           call_ != nullptr && !call_->on_kept_connection();
+}
+
 void forward_session::on_failure(const transport::error& ec) {
     if (finished_)
         return;
@@ -246,7 +253,7 @@
                          : first_answer_seen_    ? "broken off"
                                                  : "lost";
     services_.measures.count("azureyoke_failed_attempts_total", "result", result);
-    if (!ec.may_have_sent_bytes)
+    if (!ec.may_have_sent_bytes || ended_without_answer(ec))
         services_.paths.on_unreachable(last_server_);
     if (ec.may_have_sent_bytes && ec.code == transport::errc::connection_lost) {
         lost_sends_ += first_answer_seen_ ? 0 : 1;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -88,6 +88,8 @@
     void request_permit();
     void on_permit(const coordination::server_choice& choice, bool granted);
     void send_request();
+    /// Whether the connection was a new one and has ended before any answer.
+    bool ended_without_answer(const transport::error& ec) const;
     /// Looks for another server than the chosen one, to which nothing was sent.
     void pass_over_choice(const std::string& why);
     /// The stream of the request `stream` may go on at servers of this software version only.
@@ -200,6 +202,7 @@
     int sends_ = 0;
     int possible_runs_ = 0;             ///< Sends that may have run.
     bool versions_were_current_ = true; ///< When the request was sent.
+    bool head_seen_ = false;            ///< A server has begun to answer the current call.
     bool first_answer_seen_ = false;
     transport::instant first_answer_at_;              ///< When the current answer began.
     coordination::answer_progress reported_progress_; ///< Of the current answer.
--- a/azureyoke/src/app/path_service.cpp
+++ b/azureyoke/src/app/path_service.cpp
@@ -12,7 +12,9 @@
 
 /// The list of peers that may help is made anew after this time.
 constexpr transport::duration candidates_period = std::chrono::milliseconds(250);
-constexpr transport::duration probe_timeout = std::chrono::milliseconds(300);
+/// A question for a server's health may wait for a slot there.
+constexpr transport::duration probe_timeout = std::chrono::milliseconds(500);
+constexpr std::size_t max_health_bytes = std::size_t{64} * 1024;
 /// Servers that are tried before the path counts as lost in a check.
 constexpr std::size_t max_checked_servers = 4;
 
@@ -24,10 +26,11 @@
 } // namespace internal
 
 path_service::path_service(transport::event_loop& loop, const forward_settings& settings,
-                           forward_state& state, const peer_directory& peers, const event_log& log,
+                           forward_state& state, const peer_directory& peers,
+                           transport::backend_pool& backends, const event_log& log,
                            metrics& measures)
-    : loop_(loop), settings_(settings), state_(state), peers_(peers), log_(log),
-      measures_(measures), watch_({}), helpers_(internal::seed_of(settings)),
+    : loop_(loop), settings_(settings), state_(state), peers_(peers), backends_(backends),
+      log_(log), measures_(measures), watch_({}), helpers_(internal::seed_of(settings)),
       random_(internal::seed_of(settings)) {}
 
 void path_service::tick() {
@@ -51,13 +54,13 @@
 void path_service::on_heard(bool new_connection) {
     watch_.on_heard(loop_.now());
     if (new_connection)
-        on_connected();
+        on_reached();
 }
 
-void path_service::on_connected() {
+void path_service::on_reached() {
     auto now = loop_.now();
     auto lost_since = watch_.lost() ? watch_.lost_since() : now;
-    if (!watch_.on_connected(now))
+    if (!watch_.on_reached(now))
         return;
     state_.router.on_path_restored();
     log_.write(event_id::servers_reached,
@@ -77,13 +80,15 @@
                                                         const std::string& except) {
     std::vector<target> list;
     const auto& servers = state_.directory.all();
-    if (servers.empty())
+    const auto& policy = state_.policy.policy;
+    if (servers.empty() || policy == nullptr)
         return list;
     auto it = std::next(servers.begin(), static_cast<std::ptrdiff_t>(random_() % servers.size()));
     for (std::size_t i = 0; i < servers.size() && list.size() < count; ++i) {
         auto address = transport::parse_address(it->second.address);
-        if (it->first != except && !it->second.leaving && address)
-            list.push_back({it->first, *address});
+        const auto* pool = policy->find_pool(it->second.pool);
+        if (it->first != except && !it->second.leaving && address && pool != nullptr)
+            list.push_back({it->first, *address, pool->health_path});
         if (++it == servers.end())
             it = servers.begin();
     }
@@ -91,25 +96,22 @@
 }
 
 void path_service::probe(const target& to, std::function<void(bool reached)> done) {
-    auto place = probes_.insert(probes_.end(), nullptr);
-    *place = std::make_unique<transport::connect_probe>(
-        loop_, to.address, internal::probe_timeout,
-        [this, server = to.server, place,
-         done = std::move(done)](transport::connect_result result) {
-            auto ended = std::shared_ptr<transport::connect_probe>(std::move(*place));
-            probes_.erase(place);
-            loop_.defer([ended] {}); // this is called by the probe
-            bool reached = result == transport::connect_result::accepted;
-            on_probed(server, reached);
+    transport::http_request request{
+        "GET", to.health_path, {{"Host", transport::to_string(to.address)}}, {}};
+    transport::fetch(
+        loop_, backends_, to.address, request, internal::probe_timeout,
+        [this, server = to.server, done = std::move(done)](const auto& answer) {
+            on_probed(server, answer.has_value());
             if (done)
-                done(reached);
-        });
+                done(answer.has_value());
+        },
+        internal::max_health_bytes, transport::answer_match::by_connection());
 }
 
 void path_service::on_probed(const std::string& server, bool reached) {
     measures_.count("azureyoke_path_probes_total", "result", reached ? "reached" : "failed");
     if (reached)
-        on_connected();
+        on_reached();
     else
         on_unreachable(server);
 }
--- a/azureyoke/src/app/path_service.h
+++ b/azureyoke/src/app/path_service.h
@@ -15,7 +15,7 @@
 #include "azureyoke/src/app/server_path.h"
 #include "azureyoke/src/coordination/helper_choice.h"
 #include "azureyoke/src/coordination/path_watch.h"
-#include "azureyoke/src/transport/connect_probe.h"
+#include "azureyoke/src/transport/backend_fetch.h"
 
 namespace azureyoke::app {
 
@@ -24,8 +24,8 @@
 class path_service : public server_path {
 public:
     path_service(transport::event_loop& loop, const forward_settings& settings,
-                 forward_state& state, const peer_directory& peers, const event_log& log,
-                 metrics& measures);
+                 forward_state& state, const peer_directory& peers,
+                 transport::backend_pool& backends, const event_log& log, metrics& measures);
 
     /// \brief To be called each 100 ms.
     void tick();
@@ -55,27 +55,28 @@
     struct target {
         std::string server;
         transport::address address;
+        std::string health_path;
     };
 
     /// \returns up to `count` servers other than `except`, from a random one on.
     std::vector<target> targets(std::size_t count, const std::string& except);
-    /// Opens a connection and closes it again. `done` may be null.
+    /// Asks a server for its health; any answer shows that it is reached. `done` may be null.
     void probe(const target& to, std::function<void(bool reached)> done);
     void on_probed(const std::string& server, bool reached);
     /// Probes the last of `list`, and the others until one is reached. \pre `list` is not empty.
     void check_next(std::vector<target> list, std::function<void(bool reached)> done);
-    void on_connected();
+    void on_reached();
 
     transport::event_loop& loop_;
     const forward_settings& settings_;
     forward_state& state_;
     const peer_directory& peers_;
+    transport::backend_pool& backends_;
     const event_log& log_;
     metrics& measures_;
     coordination::path_watch watch_;
     coordination::helper_choice helpers_;
     std::minstd_rand random_;
-    std::list<std::unique_ptr<transport::connect_probe>> probes_;
     std::size_t waiting_ = 0; ///< Requests that were sent to servers and have not ended.
     transport::instant next_candidates_;
     std::int64_t handed_on_ = 0; ///< Requests since the path was lost.
--- a/azureyoke/src/app/server_path.h
+++ b/azureyoke/src/app/server_path.h
@@ -26,7 +26,7 @@
     virtual void on_ended() = 0;
     /// \brief A part of an answer arrived; `new_connection` when it is the first on its connection.
     virtual void on_heard(bool new_connection) = 0;
-    /// \brief No connection to the server could be established.
+    /// \brief No new connection to the server could be established, or it ended without an answer.
     virtual void on_unreachable(const std::string& server) = 0;
     /// \returns whether new connections to servers fail.
     virtual bool lost() const = 0;
--- a/azureyoke/src/coordination/path_watch.cpp
+++ b/azureyoke/src/coordination/path_watch.cpp
@@ -4,7 +4,7 @@
 
 namespace azureyoke::coordination {
 
-bool path_watch::on_connected(instant now) {
+bool path_watch::on_reached(instant now) {
     failed_.clear();
     if (!lost())
         return false;
--- a/azureyoke/src/coordination/path_watch.h
+++ b/azureyoke/src/coordination/path_watch.h
@@ -10,8 +10,8 @@
 namespace azureyoke::coordination {
 
 struct path_settings {
-    /// Servers that must refuse connections, or leave them unanswered, in a row before the path
-    /// counts as lost, if nothing was heard from any server meanwhile.
+    /// Servers that must be unreachable in a row before the path counts as lost, if nothing was
+    /// heard from any server meanwhile.
     std::size_t failed_servers = 2;
     /// The same while other connections still bring answers.
     std::size_t failed_servers_if_heard = 4;
@@ -30,20 +30,22 @@
     friend bool operator==(const path_settings&, const path_settings&) = default;
 };
 
-/// \brief Decides whether this instance can open connections to backend servers.
+/// \brief Decides whether this instance reaches backend servers over new connections.
 ///
 /// One server that can't be reached may be down. When servers fail one after the other and none can
-/// be reached in between, it is the instance's own path. Fault patterns: connections are reset and
-/// new ones refused; connections hang; connections live on while new ones are refused. Pure. Not
-/// thread safe.
+/// be reached in between, it is the instance's own path. Only an answer shows that a server is
+/// reached: something on the way may accept a connection in its place. Fault patterns: connections
+/// are reset and new ones refused; connections hang; connections live on while new ones are
+/// refused; new connections are accepted and then reset or silent. Pure. Not thread safe.
 class path_watch {
 public:
     explicit path_watch(const path_settings& settings) : settings_(settings) {}
 
-    /// \brief A new connection to a server was established.
+    /// \brief A server answered over a new connection.
     /// \returns whether the path is usable again from now on.
-    bool on_connected(instant now);
-    /// \brief A server could not be connected to; `servers` is the number of those known.
+    bool on_reached(instant now);
+    /// \brief A new connection to a server could not be established, or brought no answer;
+    /// `servers` is the number of those known.
     /// \returns whether the path is lost from now on.
     bool on_unreachable(const std::string& server, std::size_t servers, instant now);
 
@@ -73,13 +75,13 @@
     void drop_old_failures(instant now);
 
     path_settings settings_;
-    std::map<std::string, instant> failed_; ///< Since the last connection that was established.
+    std::map<std::string, instant> failed_; ///< Since a server was last reached.
     std::optional<instant> lost_since_;
     std::optional<instant> last_heard_;
     std::optional<instant> waiting_since_;
     std::optional<instant> last_probe_;
     instant first_return_;
-    int returns_ = 0; ///< Connections established in a row since the path was lost.
+    int returns_ = 0; ///< Servers reached in a row since the path was lost.
 };
 
 } // namespace azureyoke::coordination
--- a/azureyoke/src/state/traffic_policy.h
+++ b/azureyoke/src/state/traffic_policy.h
@@ -51,6 +51,7 @@
     std::int64_t cache_tokens = 0;   ///< Prompt tokens that a server's cache can hold.
     std::vector<std::string> models; ///< Empty for a plain service.
     std::string cache_store_address; ///< Set when the entry is a cache store instead of a pool.
+    std::string health_path = "/";   ///< Where the servers say whether they are healthy.
 
     friend bool operator==(const server_pool&, const server_pool&) = default;
 };
--- a/test/forward_hand_on_test.cpp
+++ b/test/forward_hand_on_test.cpp
@@ -224,3 +224,29 @@
     cr_assert_eq(it.paths.refused.size(), 1U);
     cr_assert_eq(it.streams.asked.size(), 1U);
 }
+
+// Guards against a path that never counts as lost, since something on the way accepts connections.
+Test(forward_hand_on,
+     new_connection_that_ends_without_an_answer_shows_that_its_server_is_not_reached) {
+    helped_fixture it(forward_fixture::route(execution_rule::repeatable, 2));
+    it.paths.is_lost = false;
+    it.paths.lost_after = 2;
+    it.script({"", true});
+    it.helper.script({whole});
+    cr_assert_eq(it.fetch_answer().status, 502);
+    cr_assert_eq(it.paths.unreachable.size(), 2U);
+    cr_assert(it.paths.is_lost);
+    cr_assert_eq(it.fetch_answer({{"id", "q2"}}).status, 200);
+}
+
+Test(forward_hand_on,
+     answer_that_breaks_off_or_a_kept_connection_that_ends_tells_nothing_of_the_path) {
+    helped_fixture it(forward_fixture::route(execution_rule::once, 2));
+    it.paths.is_lost = false;
+    it.script({whole});
+    it.script({"", true});
+    it.script({"HTTP/1.1 200 OK\r\nid: ID\r\nstamp: s\r\nContent-Length: 9\r\n\r\nhalf", true});
+    for (int i = 0; i < 6; ++i)
+        (void)it.fetch_answer({{"id", "q" + std::to_string(i)}});
+    cr_assert(it.paths.unreachable.empty());
+}
--- a/test/path_watch_test.cpp
+++ b/test/path_watch_test.cpp
@@ -40,7 +40,7 @@
     for (const char* id : {"a", "b", "c"})
         (void)it.on_unreachable(id, servers, start);
     cr_assert_not(it.lost());
-    (void)it.on_connected(start + milliseconds(5));
+    (void)it.on_reached(start + milliseconds(5));
     (void)it.on_unreachable("a", servers, start + milliseconds(100));
     cr_assert_not(it.lost());
 }
@@ -91,14 +91,14 @@
     path_watch it({});
     lose(it, start);
     auto at = start + milliseconds(1000);
-    cr_assert_not(it.on_connected(at));
-    cr_assert_not(it.on_connected(at + milliseconds(150)));
-    cr_assert_not(it.on_connected(at + milliseconds(300)));
+    cr_assert_not(it.on_reached(at));
+    cr_assert_not(it.on_reached(at + milliseconds(150)));
+    cr_assert_not(it.on_reached(at + milliseconds(300)));
     (void)it.on_unreachable("c", servers, at + milliseconds(450));
-    cr_assert_not(it.on_connected(at + milliseconds(600)));
-    cr_assert_not(it.on_connected(at + milliseconds(750)));
-    cr_assert_not(it.on_connected(at + milliseconds(900)));
-    cr_assert(it.on_connected(at + milliseconds(1150)));
+    cr_assert_not(it.on_reached(at + milliseconds(600)));
+    cr_assert_not(it.on_reached(at + milliseconds(750)));
+    cr_assert_not(it.on_reached(at + milliseconds(900)));
+    cr_assert(it.on_reached(at + milliseconds(1150)));
     cr_assert_not(it.lost());
 }
 
@@ -113,7 +113,7 @@
             now += milliseconds(event % 200);
             switch (event % 4) {
             case 0:
-                (void)it.on_connected(now);
+                (void)it.on_reached(now);
                 break;
             case 1:
                 (void)it.on_unreachable(id(event), servers, now);
@@ -136,7 +136,7 @@
                 if (is_cut)
                     (void)it.on_unreachable(id(next++), servers, now + milliseconds(30));
                 else
-                    (void)it.on_connected(now);
+                    (void)it.on_reached(now);
             }
         }
         RC_ASSERT(it.lost() == is_cut);
