--- a/azureyoke/src/app/path_service.h
+++ b/azureyoke/src/app/path_service.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <list>
-#include <memory>
 #include <random>
 #include <string>
 #include <vector>
--- a/azureyoke/src/transport/backend_fetch.cpp
+++ b/azureyoke/src/transport/backend_fetch.cpp
@@ -106,11 +106,10 @@
 std::shared_ptr<fetch_call> fetch(event_loop& loop, backend_pool& pool, const address& to,
                                   const http_request& request, const fetch_limits& limits,
                                   std::function<void()> on_head,
-                                  std::function<void(result<http_response>)> done,
-                                  const answer_match& match) {
+                                  std::function<void(result<http_response>)> done) {
     auto sink = std::make_shared<internal::fetch_sink>(loop, limits.head, limits, max_fetched_bytes,
                                                        std::move(on_head), std::move(done));
-    sink->start(pool, to, request, match);
+    sink->start(pool, to, request, {});
     return sink;
 }
 
--- a/azureyoke/src/transport/backend_fetch.h
+++ b/azureyoke/src/transport/backend_fetch.h
@@ -49,7 +49,6 @@
 std::shared_ptr<fetch_call> fetch(event_loop& loop, backend_pool& pool, const address& to,
                                   const http_request& request, const fetch_limits& limits,
                                   std::function<void()> on_head,
-                                  std::function<void(result<http_response>)> done,
-                                  const answer_match& match = {});
+                                  std::function<void(result<http_response>)> done);
 
 } // namespace azureyoke::transport
--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "azureyoke/src/transport/failed_calls.h"
 #include "azureyoke/src/transport/http_reader.h"
