--- a/azureyoke/src/transport/backend_pool.h
+++ b/azureyoke/src/transport/backend_pool.h
@@ -80,7 +80,9 @@
     void pause(bool paused);
 
     /// \brief Closes the connection after its answer, unless it carries a later call already. For
-    /// an answer that is of no use although its status is a success. \pre The call has ended.
+    /// an answer that is of no use although its status is a success.
+    ///
+    /// \pre The call has ended.
     void retire_connection();
 
     /// \returns whether the connection carried an earlier call, whose answer a faulty server may
