--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -450,7 +450,7 @@
 
     try:
         held = asyncio.run(bounded())
-    except (CannotRun, OSError, asyncio.TimeoutError) as ec:
+    except Exception as ec:  # only a finding may end with 1
         print("the case could not run: %r" % ec, file=sys.stderr)
         sys.exit(2)
     print("the rule held" if held else "the rule was broken")
