--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -133,6 +133,7 @@
     def __init__(self, ip):
         super().__init__(ip)
         self.rows, self.version, self.changed, self.log = {}, 0, asyncio.Event(), []
+        self.down = False  # it answers every call with 503: nothing was done
 
     def put(self, table, key, value):
         self.version += 1
@@ -148,6 +149,13 @@
 
     def note(self, row):
         self.log.append(row)
+        self.wake()
+
+    def set_down(self, down):
+        self.down = down
+        self.wake()
+
+    def wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -158,7 +166,9 @@
     async def handle(self, request, writer):
         url = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(url.query))
-        if url.path == "/rows-get":
+        if self.down:
+            self.answer(writer, 503)
+        elif url.path == "/rows-get":
             rows = sorted((row for (table, key), row in self.rows.items()
                            if table == query["table"] and key >= query.get("from", "")
                            and ("to" not in query or key < query["to"])),
@@ -170,6 +180,9 @@
             while True:
                 rows = [row for row in self.log if row["table"] == query["table"] and row["ver"] > after]
                 left = until - time.monotonic()
+                if self.down:
+                    self.answer(writer, 503)
+                    return
                 if rows or left <= 0:
                     break
                 try:
