--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,77 +1,104 @@
-"""Clients that nobody controls hold small unfinished bodies open; ordinary clients try meanwhile."""
+"""Streams are taken up at the one machine that is left after the others were lost."""
 import asyncio
 import os
-import resource
+import signal
 import sys
-import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from standins_2 import NET, TROUBLE, CannotRun, Replica, World, call, main
+from standins_2 import NET, TROUBLE, Replica, World, main, read_chunks, read_head, request_bytes
 
-HOLDERS = 1600     # unfinished bodies, all together 3.2 MB
-BODY = 2048        # bytes of each that are sent, in chunks of 256
-CLIENTS = 20       # ordinary ones, each with a new connection a time
-CONTACT_S = 3.0
+STREAMS = 24     # that are under way when the machines are lost
+RETRIES = 2      # of a client, after a refusal
 
 
-async def hold(world, address, writers):
-    reader, writer = await asyncio.open_connection(*address)
-    writers.append((reader, writer))
-    fields = world.fields() + [("Transfer-Encoding", "chunked")]
-    text = "POST /look/a HTTP/1.1\r\n" + "".join("%s: %s\r\n" % field for field in fields) + "\r\n"
-    writer.write(text.encode() + (b"100\r\n" + b"x" * 256 + b"\r\n") * (BODY // 256))
-    await writer.drain()
+class Stream:
+    """A client's stream, over its attempts."""
 
+    def __init__(self, world, number):
+        self.world, self.prompt = world, "aa%02x:198,bb%04x:628" % (number % 4, number)
+        self.first, self.last, self.complete = None, 0, False
 
-async def ordinary(world, address, until, results):
-    while time.monotonic() < until:
-        fields, began = world.fields(deadline_ms=1500), time.monotonic()
-        answer = await call(address, "GET", "/look/a", fields, timeout=1.5)
-        status = answer.status if answer else 0
-        results.append((began, status))
-        world.record("%s answered %s after %.2f s" % (dict(fields)["Attempt-Id"], status or "nothing",
-                                                    time.monotonic() - began))
-        await asyncio.sleep(0.25)
+    async def attempt(self, address):
+        """Returns the status of the answer; 0 without one."""
+        more = [] if self.first is None else [("Last-Event-Id", str(self.last)), ("Resumes", self.first)]
+        fields = self.world.fields(prompt=self.prompt, more=more)
+        name, status, writer = dict(fields)["Attempt-Id"], 0, None
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(*address), 1)
+            self.world.record("%s sent to %s %s" % (name, address[0], more))
+            writer.write(request_bytes("POST", "/ask/a", fields, b"question"))
+            head = await asyncio.wait_for(read_head(reader), 12)
+            status = head.status
+            if status != 200:
+                text = await reader.readexactly(int(head.get("Content-Length") or 0))
+                self.world.record("%s answered %d %s" % (name, status, text.decode().strip()))
+                self.wait = float(head.get("Retry-After") or 0)
+                return status
+            buffer = b""
+            async for piece in read_chunks(reader):
+                buffer += piece
+                while b"\n\n" in buffer:
+                    event, buffer = buffer.split(b"\n\n", 1)
+                    self.last = int(event.split(b"\n")[0].split(b":")[1])
+                    self.first = self.first or name
+            self.complete = True
+            self.world.record("%s complete with event %d" % (name, self.last))
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self.world.record("%s broken off after event %d" % (name, self.last))
+        finally:
+            if writer:
+                writer.close()
+        return status
+
+    async def tries(self, address):
+        """Whether one of a client's tries is answered with success."""
+        self.wait = 0
+        for _ in range(1 + RETRIES):
+            if await self.attempt(address) == 200:
+                return True
+            await asyncio.sleep(min(self.wait, 3))
+        return False
 
 
 async def play(folder):
-    resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
-    world, writers, results = World(folder, ["colombo"], memoryMb=110, maxFds=4100), [], []
+    world = World(folder, ["colombo"] * 3)
     try:
-        replicas = [Replica(NET + "100", world.store, "i-lm-0", "lm", "colombo", model="m0"),
-                    Replica(NET + "110", world.store, "i-ledger-0", "ledger", "colombo"),
-                    Replica(NET + "111", world.store, "i-ledger-1", "ledger", "colombo")]
+        replicas = [Replica(NET + str(100 + i), world.store, "i-lm-%d" % i, "lm", zone, model="m0")
+                    for i, zone in enumerate(["colombo", "gampaha", "kalutara"])]
+        replicas.append(Replica(NET + "110", world.store, "i-ledger-0", "ledger", "colombo"))
+        for replica in replicas:
+            replica.events, replica.gap = 60, 0.1
         await world.start(replicas)
-        machine = world.instances[0]
-        await asyncio.sleep(4)
+        await asyncio.sleep(4)  # all machines are in touch
+        survivor, others = world.instances[0], world.instances[1:]
+        streams = [Stream(world, i) for i in range(STREAMS)]
+        first = [asyncio.create_task(it.attempt(others[i % 2].callers)) for i, it in enumerate(streams)]
+        await asyncio.sleep(2)
         if TROUBLE:
-            for i in range(HOLDERS):
-                try:
-                    await asyncio.wait_for(hold(world, machine.callers, writers), 1)
-                except (OSError, asyncio.TimeoutError):
-                    pass
-            world.record("%d unfinished bodies are sent" % len(writers))
-        began = time.monotonic()
-        until, ready = began + 2 * CONTACT_S, []
-        tasks = [asyncio.create_task(ordinary(world, machine.callers, until, results)) for _ in range(CLIENTS)]
-        while time.monotonic() < until:
-            ready.append(await machine.ready())
-            world.record("/readyz answers %s" % ("200" if ready[-1] else "no 200"))
-            await asyncio.sleep(0.5)
-        await asyncio.gather(*tasks)
-        # The longest time in which the machine took no new connection of the ordinary clients.
-        taken = [began] + sorted(at for at, status in results if status) + [until]
-        gap = max(b - a for a, b in zip(taken, taken[1:]))
-        open_ = sum(not reader.at_eof() for reader, _ in writers)
-        text = "%d of %d ordinary requests answered; longest time without one %.2f s; ready %d of %d times; " \
-               "%d unfinished bodies still open" % (sum(status > 0 for _, status in results), len(results), gap,
-                                                  sum(ready), len(ready), open_)
-        world.record(text)
-        print(text)
-        return gap < CONTACT_S or not all(ready)
+            for it in others:
+                it.signal(signal.SIGKILL)
+            world.record("killed " + " and ".join(it.name for it in others))
+        else:  # the clients close their connections themselves
+            for task in first:
+                task.cancel()
+            world.record("the clients close their connections")
+        await asyncio.gather(*first, return_exceptions=True)
+        begun = [it for it in streams if it.first and not it.complete]
+        fresh = [Stream(world, 1000 + i) for i in range(STREAMS)]
+
+        async def spread(list_, over):
+            tasks = []
+            for it in list_:
+                tasks.append(asyncio.create_task(it.tries(survivor.callers)))
+                await asyncio.sleep(over / len(list_))
+            return sum(await asyncio.gather(*tasks))
+
+        resumed, new = await asyncio.gather(spread(begun, 5), spread(fresh, 5))
+        world.record("%d of %d streams went on, %d of %d new streams began" %
+                     (resumed, len(begun), new, len(fresh)))
+        print("%d of %d streams went on, %d of %d new streams began" % (resumed, len(begun), new, len(fresh)))
+        return len(begun) < 12 or resumed / len(begun) >= 0.5 * new / len(fresh)
     finally:
-        for _, writer in writers:
-            writer.close()
         world.end()
 
 
