--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -466,5 +466,8 @@
     except Exception as ec:  # only a finding may end with 1
         print("the case could not run: %r" % ec, file=sys.stderr)
         sys.exit(2)
-    print("the rule held" if held else "the rule was broken")
-    sys.exit(0 if held else 1)
+    try:
+        print("the rule held" if held else "the rule was broken", flush=True)
+    except OSError:
+        pass  # nobody reads it
+    os._exit(0 if held else 1)
