--- a/azureyoke/src/app/forward_admit.cpp
+++ b/azureyoke/src/app/forward_admit.cpp
@@ -39,8 +39,6 @@
     guarded_parts_.push_back(
         name_of_request(exchange_->request(), request_info_.host, request_info_.key));
     query_.number = static_cast<std::int64_t>(std::hash<std::string>()(request_info_.request_id));
-    if (workspace_ != nullptr && workspace_->isolated)
-        query_.cache_salt = workspace_->name;
     return charge_rate_limit();
 }
 
--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -53,8 +53,15 @@
         dispatch();
 }
 
+void forward_session::update_cache_salt() {
+    const auto& policy = *services_.state.policy.policy;
+    query_.cache_salt =
+        workspace_ == nullptr ? policy.shared_cache_salt() : policy.cache_salt(workspace_->name);
+}
+
 bool forward_session::choose_server() {
     auto now = services_.loop.now();
+    update_cache_salt();
     query_.uneven = services_.state.tells_slowdown(pool_, now);
     query_.target_ms = static_cast<double>(route_->latency_target_ms);
     query_.bytes = static_cast<std::int64_t>(exchange_->request().body.size());
@@ -199,10 +206,12 @@
             return;
         choice_ = choice; // nobody helps, and the server may be reached all the same
     }
+    update_cache_salt(); // a wait for a permit may have come since the choice
+    auto directive = make_directive();
     const auto& original = exchange_->request();
     transport::http_request request{original.method,
                                     original.target,
-                                    services_.dialect.request_fields(original, make_directive()),
+                                    services_.dialect.request_fields(original, directive),
                                     {}};
     ++sends_;
     ++possible_runs_;
@@ -223,7 +232,8 @@
     last_uncached_tokens_ = choice_->uncached_tokens;
     add_step("sent to " + last_server_ + " for " + std::to_string(last_uncached_tokens_) +
              " uncached prompt tokens, first answer expected in " +
-             std::to_string(std::lround(last_estimate_ms_)) + " ms");
+             std::to_string(std::lround(last_estimate_ms_)) + " ms, cache salt \"" +
+             directive.cache_salt + "\"");
     if (!relay_.last_id().empty() || !request_info_.last_event.empty())
         log_resumption(server->software);
     run_began_ = false;
--- a/azureyoke/src/app/forward_session.h
+++ b/azureyoke/src/app/forward_session.h
@@ -76,6 +76,8 @@
     /// was refused.
     bool hold_copy();
     bool choose_server();
+    /// The policy in force decides who may share, also for a request that waited while it changed.
+    void update_cache_salt();
     void refuse_no_server();
     /// \returns the rank of the request; 0 is the most urgent.
     int rank() const;
--- a/azureyoke/src/state/traffic_policy.cpp
+++ b/azureyoke/src/state/traffic_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "azureyoke/src/state/cache_salt.h"
+
 namespace azureyoke::state {
 
 traffic_policy::traffic_policy(std::int64_t version, std::vector<forward_route> routes,
@@ -16,7 +18,9 @@
         std::sort(indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) {
             return routes_[a].path_prefix.size() > routes_[b].path_prefix.size();
         });
+    shared_cache_salt_ = state::shared_cache_salt(workspaces_);
     for (std::size_t i = 0; i < workspaces_.size(); ++i) {
+        workspace_by_name_[workspaces_[i].name] = i;
         for (const auto& key : workspaces_[i].keys)
             workspace_by_key_[key] = i;
     }
@@ -40,6 +44,12 @@
     return it == pools_.end() ? nullptr : &*it;
 }
 
+std::string traffic_policy::cache_salt(std::string_view workspace) const {
+    auto found = workspace_by_name_.find(std::string(workspace));
+    bool shares = found != workspace_by_name_.end() && !workspaces_[found->second].isolated;
+    return shares ? shared_cache_salt_ : own_cache_salt(workspace);
+}
+
 const forward_workspace* traffic_policy::find_workspace(std::string_view key) const {
     auto found = workspace_by_key_.find(std::string(key));
     return found == workspace_by_key_.end() ? nullptr : &workspaces_[found->second];
--- a/azureyoke/src/state/traffic_policy.h
+++ b/azureyoke/src/state/traffic_policy.h
@@ -98,6 +98,13 @@
 
     const caller_bounds& bounds() const { return bounds_; }
 
+    /// \returns the cache salt of requests of the workspace with this name. One that the policy
+    /// does not have shares with none.
+    std::string cache_salt(std::string_view workspace) const;
+
+    /// \returns the cache salt of workspaces that are not isolated, and of requests without one.
+    const std::string& shared_cache_salt() const { return shared_cache_salt_; }
+
     /// \returns the route of `host` with the longest path prefix that matches `path`, or null.
     const forward_route* find_route(std::string_view host, std::string_view path) const;
     const server_pool* find_pool(std::string_view name) const;
@@ -116,6 +123,8 @@
     caller_bounds bounds_;
     std::unordered_map<std::string, std::vector<std::size_t>> routes_by_host_;
     std::unordered_map<std::string, std::size_t> workspace_by_key_;
+    std::unordered_map<std::string, std::size_t> workspace_by_name_;
+    std::string shared_cache_salt_;
 };
 
 } // namespace azureyoke::state
--- a/test/forward_fixture.h
+++ b/test/forward_fixture.h
@@ -49,6 +49,8 @@
             {"id", transport::find_field(request.fields, "id").value_or("")},
             {"server", directive.server},
             {"last", directive.last_event}};
+        if (!directive.cache_salt.empty())
+            fields.push_back({"salt", directive.cache_salt});
         if (directive.urgency)
             fields.push_back({"urgency", std::to_string(*directive.urgency)});
         return fields;
