--- a/azureyoke/src/app/forward_session.cpp
+++ b/azureyoke/src/app/forward_session.cpp
@@ -165,6 +165,9 @@
         directive.cache_salt = query_.cache_salt + "#" + std::to_string(choice_->weights);
         directive.cache_source_address = cache_source_address();
         directive.cache_store_address = choice_->save ? cache_store_address() : std::string();
+    } else if (!query_.model.empty()) {
+        // Parts of unknown weights are of no use to another request.
+        directive.cache_salt = query_.cache_salt + "#?" + request_info_.request_id;
     }
     if (services_.settings.server_urgency &&
         services_.state.overload_control(pool_, services_.loop.now()))
--- a/test/forward_salt_test.cpp
+++ b/test/forward_salt_test.cpp
@@ -18,8 +18,8 @@
 struct salt_fixture : forward_fixture {
     salt_fixture() : forward_fixture(forward_fixture::route(execution_rule::once, 1)) {
         set_policy(2, false);
-        script({good});
-        script({good});
+        for (int i = 0; i < 3; ++i)
+            script({good});
     }
 
     void set_weights(std::int64_t version) {
@@ -74,3 +74,14 @@
     cr_assert_neq(shared, "");
     cr_assert_eq(salt, shared + "#1");
 }
+
+// Guards against requests without a salt, which share their parts with all others: isolated
+// workspaces, and requests that run on other weights.
+Test(forward_salt, request_for_unknown_weights_shares_no_cache) {
+    salt_fixture it;
+    auto first_salt = it.salt_of("q1");
+    cr_assert_neq(first_salt, "");
+    cr_assert_neq(it.salt_of("q2"), first_salt);
+    it.set_weights(1);
+    cr_assert_eq(it.salt_of("q3"), "#1");
+}
