--- a/azureyoke/src/app/stream_service.cpp
+++ b/azureyoke/src/app/stream_service.cpp
@@ -36,7 +36,10 @@
                                server_list_reader& servers, record_store& records,
                                const event_log& log, metrics& measures)
     : loop_(loop), settings_(settings), state_(state), peers_(peers), records_(records), log_(log),
-      measures_(measures), store_reader_(loop, servers, records, measures), bindings_({}) {}
+      measures_(measures),
+      store_reader_(loop, servers, records, measures,
+                    [this](const auto& found) { return on_store_content(found); }),
+      bindings_({}) {}
 
 bool stream_service::versions_are_current() const {
     auto now = loop_.now();
@@ -249,39 +252,43 @@
 void stream_service::ask_store(std::uint64_t number) {
     auto& it = pending_.at(number);
     it.known.store = coordination::stream_evidence::store_read::under_way;
-    it.timeout = loop_.after(internal::store_timeout,
-                             [this, number] { on_store_read(number, std::nullopt); });
+    it.timeout =
+        loop_.after(internal::store_timeout, [this, number] { on_store_read(number, false); });
     auto instances = static_cast<double>(peers_.count(loop_.now()).all);
     auto period = coordination::from_seconds(instances / internal::store_reads_per_second);
-    store_reader_.read(period, [this, number](const auto& found) { on_store_read(number, found); });
+    store_reader_.read(period, [this, number](bool done) { on_store_read(number, done); });
 }
 
-void stream_service::on_store_read(std::uint64_t number,
-                                   const std::optional<stream_store_reader::content>& found) {
-    auto entry = pending_.find(number);
-    if (entry == pending_.end())
-        return;
-    auto& it = entry->second;
-    auto stored = found ? read_versions(found->versions) : std::nullopt;
-    if (!stored) {
-        it.known.store = coordination::stream_evidence::store_read::failed;
-        decide_unknown(number);
-        return;
-    }
-    for (const auto& record : found->streams)
+bool stream_service::on_store_content(const stream_store_reader::content& found) {
+    auto stored = read_versions(found.versions);
+    if (!stored)
+        return false;
+    if (!versions_.complete())
+        versions_.add_stored(*stored, loop_.now());
+    versions_in_store_ = std::move(*stored);
+    for (const auto& record : found.streams)
         keep_stored_streams(record, false);
-    auto now = loop_.now();
-    auto binding = bindings_.find(it.stream, now);
-    if (binding && binding->pool == it.pool) {
-        end_known(number, binding->software);
+    return true;
+}
+
+void stream_service::on_store_read(std::uint64_t number, bool done) {
+    auto found = pending_.find(number);
+    if (found == pending_.end())
         return;
+    auto& it = found->second;
+    it.known.store = done ? coordination::stream_evidence::store_read::done
+                          : coordination::stream_evidence::store_read::failed;
+    if (done) {
+        auto binding = bindings_.find(it.stream, loop_.now());
+        if (binding && binding->pool == it.pool) {
+            end_known(number, binding->software);
+            return;
+        }
+        it.known.complete = true;
+        it.known.versions.merge(versions_.of(it.pool));
+        if (auto stored = versions_in_store_.find(it.pool); stored != versions_in_store_.end())
+            it.known.versions.insert(stored->second.begin(), stored->second.end());
     }
-    if (!versions_.complete())
-        versions_.add_stored(*stored, now);
-    it.known.store = coordination::stream_evidence::store_read::done;
-    it.known.complete = true;
-    it.known.versions.merge(versions_.of(it.pool));
-    it.known.versions.merge((*stored)[it.pool]);
     decide_unknown(number);
 }
 
--- a/azureyoke/src/app/stream_service.h
+++ b/azureyoke/src/app/stream_service.h
@@ -83,8 +83,8 @@
     void decide_unknown(std::uint64_t number);
     /// No peer can tell of the stream: asks the store.
     void ask_store(std::uint64_t number);
-    void on_store_read(std::uint64_t number,
-                       const std::optional<stream_store_reader::content>& found);
+    bool on_store_content(const stream_store_reader::content& found);
+    void on_store_read(std::uint64_t number, bool done);
     /// Keeps the streams of an instance's record.
     void keep_stored_streams(const stored_record& record, bool as_own);
     std::optional<coordination::version_sets> read_versions(const stored_record& record) const;
@@ -106,6 +106,7 @@
     std::uint64_t next_number_ = 1;
     std::set<std::string> mixed_pools_;                ///< Whose bindings peers keep.
     std::optional<coordination::version_sets> stored_; ///< As last read or written.
+    coordination::version_sets versions_in_store_;     ///< As last read for a question.
     transport::instant next_store_;
     bool storing_ = false;
     std::set<std::string> own_streams_; ///< Open streams that this instance bound.
--- a/azureyoke/src/app/stream_store_reader.cpp
+++ b/azureyoke/src/app/stream_store_reader.cpp
@@ -12,8 +12,10 @@
 };
 
 stream_store_reader::stream_store_reader(transport::event_loop& loop, server_list_reader& servers,
-                                         record_store& records, metrics& measures)
-    : loop_(loop), servers_(servers), records_(records), measures_(measures) {}
+                                         record_store& records, metrics& measures,
+                                         content_handler on_content)
+    : loop_(loop), servers_(servers), records_(records), measures_(measures),
+      on_content_(std::move(on_content)) {}
 
 void stream_store_reader::read(transport::duration min_period, handler done) {
     waiting_.push_back(std::move(done));
@@ -61,12 +63,11 @@
 void stream_store_reader::end(round& finished) {
     if (--finished.pending > 0)
         return;
-    measures_.count("azureyoke_stream_store_reads_total", "result",
-                    finished.failed ? "failed" : "done");
     round_.reset();
-    auto found = finished.failed ? std::nullopt : std::optional(std::move(finished.found));
+    bool usable = !finished.failed && on_content_(finished.found);
+    measures_.count("azureyoke_stream_store_reads_total", "result", usable ? "done" : "failed");
     for (const auto& done : finished.handlers)
-        done(found);
+        done(usable);
     begin_when_due();
 }
 
--- a/azureyoke/src/app/stream_store_reader.h
+++ b/azureyoke/src/app/stream_store_reader.h
@@ -2,7 +2,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,12 +29,14 @@
         friend bool operator==(const content&, const content&) = default;
     };
 
-    /// Gets nothing if one of the calls failed.
-    using handler = std::function<void(const std::optional<content>&)>;
+    /// Takes what was read, once a read. \returns whether it is usable.
+    using content_handler = std::function<bool(const content&)>;
+    /// Gets whether the read succeeded, after `content_handler` took what was read.
+    using handler = std::function<void(bool)>;
 
     /// \pre The references outlive this object.
     stream_store_reader(transport::event_loop& loop, server_list_reader& servers,
-                        record_store& records, metrics& measures);
+                        record_store& records, metrics& measures, content_handler on_content);
 
     /// \brief Calls `done` once, after the listener of the registry has all its changes.
     /// `min_period` is the least time between the starts of two reads.
@@ -52,6 +53,7 @@
     server_list_reader& servers_;
     record_store& records_;
     metrics& measures_;
+    content_handler on_content_;
     std::vector<handler> waiting_; ///< For the next read.
     std::shared_ptr<round> round_; ///< The read under way.
     transport::duration min_period_{};
