--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -473,10 +473,10 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.add("trouble " + ("on" if trouble else "off"))
-    instances = Instances(record)
     if not os.access(PROGRAM, os.X_OK):
         print("target/azureyoke is not built", file=sys.stderr)
         sys.exit(2)
+    instances = Instances(record)
 
     async def bounded():
         return await asyncio.wait_for(play(record, instances, trouble), 110)
